--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/pipeline/PipelineRoute.java
@@ -0,0 +1,134 @@
+package org.comfreyslip.routing.pipeline;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.routing.topology.LayerRange;
+
+/**
+ * The stages of one run and, for each, how many positions of the stream's KV cache it is
+ * known to hold.
+ */
+final class PipelineRoute {
+
+	private final int layers;
+
+	private final List<PipelineStage> stages;
+
+	private final List<Integer> cached = new ArrayList<>();
+
+	private final Set<String> leaving = new HashSet<>();
+
+	PipelineRoute(int layers, List<PipelineStage> stages) {
+		this.layers = layers;
+		this.stages = new ArrayList<>(stages);
+		stages.forEach((stage) -> this.cached.add(0));
+		requireCover();
+	}
+
+	int size() {
+		return this.stages.size();
+	}
+
+	PipelineStage stage(int index) {
+		return this.stages.get(index);
+	}
+
+	List<PipelineStage> stages() {
+		return List.copyOf(this.stages);
+	}
+
+	boolean isLast(int index) {
+		return index == this.stages.size() - 1;
+	}
+
+	void markLeaving(String engine) {
+		this.leaving.add(engine);
+	}
+
+	boolean isLeaving(int index) {
+		return this.leaving.contains(this.stages.get(index).engine());
+	}
+
+	void stay(int index) {
+		this.leaving.remove(this.stages.get(index).engine());
+	}
+
+	void setCached(int index, int positions) {
+		this.cached.set(index, positions);
+	}
+
+	void loseCache(int index) {
+		this.cached.set(index, 0);
+	}
+
+	/**
+	 * Finds the first stage that holds fewer positions than the run needs.
+	 * @param current the stage whose step is due
+	 * @param position the position of the step that is due
+	 * @param count the number of positions of that step
+	 * @return the stage's index, or -1 if none is missing any
+	 */
+	int firstMissing(int current, int position, int count) {
+		for (int i = 0; i < this.stages.size(); i++) {
+			if (this.cached.get(i) < needed(i, current, position, count)) {
+				return i;
+			}
+		}
+		return -1;
+	}
+
+	/**
+	 * Returns how many positions a stage has to hold. Stages before the current one have
+	 * already run the positions of the step that is due.
+	 * @param index the stage's index
+	 * @param current the stage whose step is due
+	 * @param position the position of the step that is due
+	 * @param count the number of positions of that step
+	 * @return the number of positions, from 0
+	 */
+	int needed(int index, int current, int position, int count) {
+		return (index < current) ? position + count : position;
+	}
+
+	/**
+	 * Replaces a stage by one or more that cover the same layers.
+	 * @param index the stage's index
+	 * @param replacement the stages that take its place
+	 * @return the number of stages that now stand in its place
+	 */
+	int replace(int index, List<PipelineStage> replacement) {
+		this.stages.remove(index);
+		this.cached.remove(index);
+		this.stages.addAll(index, replacement);
+		for (int i = 0; i < replacement.size(); i++) {
+			this.cached.add(index + i, 0);
+		}
+		requireCover();
+		return replacement.size();
+	}
+
+	private void requireCover() {
+		int next = 0;
+		for (PipelineStage stage : this.stages) {
+			LayerRange range = stage.layers();
+			if (range.first() != next) {
+				throw uncovered();
+			}
+			next = range.end();
+		}
+		if (next != this.layers) {
+			throw uncovered();
+		}
+	}
+
+	private CodedException uncovered() {
+		return new CodedException(ErrorCode.INVARIANT_VIOLATED,
+				"stages " + this.stages + " do not cover layers 0-" + this.layers + " exactly");
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/pipeline/StepFailure.java
@@ -0,0 +1,34 @@
+package org.comfreyslip.routing.pipeline;
+
+/**
+ * How a step failed.
+ */
+public enum StepFailure {
+
+	/** The engine refused the connection or closed it. */
+	UNREACHABLE(false),
+
+	/** No answer came within the step timeout. */
+	TIMED_OUT(true),
+
+	/** The engine answered with an error. */
+	REFUSED(true),
+
+	/** The engine no longer holds the stream's KV cache. */
+	KV_LOST(false);
+
+	private final boolean exportPossible;
+
+	StepFailure(boolean exportPossible) {
+		this.exportPossible = exportPossible;
+	}
+
+	/**
+	 * Returns whether the engine may still hand over the stream's KV cache.
+	 * @return {@code true} if an export is worth one try
+	 */
+	public boolean isExportPossible() {
+		return this.exportPossible;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/test/java/org/comfreyslip/routing/pipeline/StepLedgerTests.java
@@ -0,0 +1,62 @@
+package org.comfreyslip.routing.pipeline;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.routing.topology.LayerRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.assertThatNoException;
+
+/**
+ * Guards against a layer that is skipped, repeated or run out of order without notice.
+ */
+class StepLedgerTests {
+
+	private final StepLedger ledger = new StepLedger("r", 4);
+
+	@Test
+	void layersInOrderCompleteAToken() {
+		this.ledger.accept(step(0, 0, 2));
+		this.ledger.accept(step(0, 2, 4));
+		assertThatNoException().isThrownBy(() -> this.ledger.requireComplete(1));
+	}
+
+	@Test
+	void aRepeatedLayerRangeIsRefused() {
+		this.ledger.accept(step(0, 0, 2));
+		refuses(step(0, 0, 2));
+	}
+
+	@Test
+	void aSkippedLayerRangeIsRefused() {
+		refuses(step(0, 2, 4));
+	}
+
+	@Test
+	void aSkippedPositionIsRefused() {
+		this.ledger.accept(step(0, 0, 4));
+		refuses(step(2, 0, 4));
+	}
+
+	@Test
+	void aRebuildStepNeverFormsTheAnswer() {
+		refuses(new StepId("r", 1, 0, 1, new LayerRange(0, 4), StepKind.REBUILD_KEEP));
+	}
+
+	@Test
+	void anUnfinishedTokenIsNotComplete() {
+		this.ledger.accept(step(0, 0, 2));
+		assertThatExceptionOfType(CodedException.class).isThrownBy(() -> this.ledger.requireComplete(1));
+	}
+
+	private void refuses(StepId id) {
+		assertThatExceptionOfType(CodedException.class).isThrownBy(() -> this.ledger.accept(id))
+			.matches((ex) -> ex.code() == ErrorCode.INVARIANT_VIOLATED);
+	}
+
+	private static StepId step(int position, int first, int end) {
+		return new StepId("r", 1, position, 1, new LayerRange(first, end), StepKind.DECODE);
+	}
+
+}
