Add parsing and checks of the operators' text and daemon settings

The text is parsed with ini4j's event parser instead of its maps, because the maps merge sections and keys of the same name, which the check has to report. Sections and keys are declared in one schema, so that the checks and the reference page use the same list. Checks between sections use only values that passed their own rule, so that one fault does not cause others.

--- /dev/null
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/DependencyKind.java
@@ -0,0 +1,14 @@
+package org.comfreyslip.settings;
+
+/**
+ * What can depend on a service.
+ */
+public enum DependencyKind {
+
+	/** A plain service. */
+	SERVICE,
+
+	/** A model. */
+	MODEL
+
+}
--- /dev/null
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/IniSection.java
@@ -0,0 +1,25 @@
+package org.comfreyslip.settings;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One section of an INI text.
+ *
+ * @param name the text between the brackets, or an empty string for lines before the
+ * first section
+ * @param entries the lines in the order of the text; a key that occurs twice is kept
+ * twice
+ */
+public record IniSection(String name, List<IniEntry> entries) {
+
+	/**
+	 * Returns the first value of a key.
+	 * @param key the key
+	 * @return the value, or empty if the section lacks the key
+	 */
+	public Optional<String> find(String key) {
+		return this.entries.stream().filter((entry) -> entry.key().equals(key)).map(IniEntry::value).findFirst();
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/LayerCheck.java
@@ -0,0 +1,94 @@
+package org.comfreyslip.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.comfreyslip.routing.topology.LayerRange;
+
+/**
+ * Finds models without a complete set of engines and engines with layers beyond their
+ * model. A plan needs ranges that join exactly, so overlapping ranges alone do not cover
+ * a model.
+ */
+final class LayerCheck {
+
+	private final CheckedText text;
+
+	private final FaultList faults;
+
+	private final Map<String, List<CheckedSection>> enginesByModel = new HashMap<>();
+
+	LayerCheck(CheckedText text, FaultList faults) {
+		this.text = text;
+		this.faults = faults;
+	}
+
+	void run() {
+		for (CheckedSection engine : this.text.sections(OperatorTextSchema.ENGINE)) {
+			engine.find("model")
+				.ifPresent(
+						(model) -> this.enginesByModel.computeIfAbsent(model, (key) -> new ArrayList<>()).add(engine));
+		}
+		for (CheckedSection model : this.text.sections(OperatorTextSchema.MODEL)) {
+			model.find("layers").map(Integer::parseInt).ifPresent((layers) -> checkModel(model, layers));
+		}
+	}
+
+	private void checkModel(CheckedSection model, int layers) {
+		List<CheckedSection> engines = this.enginesByModel.getOrDefault(model.name(), List.of());
+		List<LayerRange> ranges = new ArrayList<>();
+		boolean complete = true;
+		for (CheckedSection engine : engines) {
+			if (engine.find("layers").isEmpty()) {
+				// The missing range is a fault of its own; a gap may only follow from it.
+				complete = false;
+				continue;
+			}
+			LayerRange range = OperatorText.toRange(engine.text("layers"));
+			ranges.add(range);
+			checkEnd(engine, range, model, layers);
+		}
+		if (complete) {
+			checkCover(model, ranges, layers);
+		}
+	}
+
+	private void checkEnd(CheckedSection engine, LayerRange range, CheckedSection model, int layers) {
+		if (range.end() > layers) {
+			this.faults.add(engine.header(), "layers", range.toString(),
+					"layers 0-" + layers + " of model " + model.name(),
+					"correct the range or the model's number of layers");
+		}
+	}
+
+	private void checkCover(CheckedSection model, List<LayerRange> ranges, int layers) {
+		TreeSet<Integer> reached = reachedEnds(ranges);
+		if (reached.contains(layers)) {
+			return;
+		}
+		Integer last = reached.lower(layers);
+		this.faults.add(model.header(), "layers",
+				"no set of engines for all layers; ranges join from 0 up to " + last + " of " + layers,
+				"engines whose ranges join without gap or overlap from 0 to " + layers,
+				"add an engine for layers " + last + "-" + layers + " or correct the ranges");
+	}
+
+	private static TreeSet<Integer> reachedEnds(List<LayerRange> ranges) {
+		TreeMap<Integer, TreeSet<Integer>> endsByFirst = new TreeMap<>();
+		ranges
+			.forEach((range) -> endsByFirst.computeIfAbsent(range.first(), (key) -> new TreeSet<>()).add(range.end()));
+		TreeSet<Integer> reached = new TreeSet<>();
+		reached.add(0);
+		endsByFirst.forEach((first, ends) -> {
+			if (reached.contains(first)) {
+				reached.addAll(ends);
+			}
+		});
+		return reached;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * INI texts: the operators' configuration, each daemon's own settings and their
+ * validation.
+ */
+package org.comfreyslip.settings;
