Add the claim protocol of protected calls as state machines

Points that needed a decision: - A claim counts only where its nonce first appears. A batch that is appended twice would otherwise take a key again after its release. - One time bound in ClaimFold covers trimmed, expired and evicted records, so that none of the three can make a used key look free. A separate flag per cause was considered; a clock that is set back defeats it. - A refusal after an append with unknown outcome proves nothing, so the batch stays in doubt. - A look-up releases a claim only if it was sent, not answered, after send-by plus the clock margin.

--- /dev/null
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/IdempotencyKeyPolicy.java
@@ -0,0 +1,125 @@
+package org.comfreyslip.coordination.claim;
+
+import java.util.UUID;
+import java.util.random.RandomGenerator;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+
+/**
+ * Decides by the age of an idempotency key whether all claims on it can still be in the
+ * log. Keys are UUIDs of version 7 (RFC 9562, section 5.7).
+ *
+ * @param windowMillis the greatest age of a key, in milliseconds
+ * @param retentionMillis how long the log keeps records, in milliseconds
+ * @param futureMillis how far in the future a key may be, in milliseconds
+ * @param clockMarginMillis the greatest difference between the clocks of two daemons or
+ * services, in milliseconds
+ */
+public record IdempotencyKeyPolicy(long windowMillis, long retentionMillis, long futureMillis, long clockMarginMillis) {
+
+	private static final long DEFAULT_WINDOW_MILLIS = 3_600_000;
+
+	private static final long DEFAULT_FUTURE_MILLIS = 120_000;
+
+	private static final long DEFAULT_CLOCK_MARGIN_MILLIS = 10_000;
+
+	private static final int VERSION = 7;
+
+	private static final int VARIANT = 2;
+
+	private static final int TIMESTAMP_SHIFT = 16;
+
+	private static final long VERSION_BITS = 0x7000L;
+
+	private static final long RAND_A_MASK = 0x0fffL;
+
+	private static final long VARIANT_BITS = 0x8000000000000000L;
+
+	private static final long RAND_B_MASK = 0x3fffffffffffffffL;
+
+	/**
+	 * Checks that the margins leave room between window and retention.
+	 * @throws CodedException with {@link ErrorCode#INVALID_SETTINGS} if the window is not
+	 * under half of the retention, or window and margins together exceed the retention
+	 */
+	public IdempotencyKeyPolicy {
+		long needed = windowMillis + 2 * (futureMillis + clockMarginMillis);
+		if (windowMillis <= 0 || 2 * windowMillis >= retentionMillis || needed > retentionMillis) {
+			throw new CodedException(ErrorCode.INVALID_SETTINGS, "a key window of " + windowMillis
+					+ " ms with margins does not fit a log retention of " + retentionMillis + " ms; reduce the window");
+		}
+	}
+
+	/**
+	 * Creates a policy with the default window of 1 h and a future limit of 2 min.
+	 * @param retentionMillis how long the log keeps records, in milliseconds
+	 * @return the policy
+	 * @throws CodedException with {@link ErrorCode#INVALID_SETTINGS} if the retention is
+	 * too short
+	 */
+	public static IdempotencyKeyPolicy withDefaults(long retentionMillis) {
+		return new IdempotencyKeyPolicy(DEFAULT_WINDOW_MILLIS, retentionMillis, DEFAULT_FUTURE_MILLIS,
+				DEFAULT_CLOCK_MARGIN_MILLIS);
+	}
+
+	/**
+	 * Judges a key.
+	 * @param key the key
+	 * @param nowEpochMillis the current time in milliseconds since the epoch
+	 * @return the verdict
+	 */
+	public KeyVerdict judge(ClaimKey key, long nowEpochMillis) {
+		UUID uuid = key.uuid();
+		if (uuid.version() != VERSION || uuid.variant() != VARIANT) {
+			return KeyVerdict.NOT_VERSION_7;
+		}
+		long age = nowEpochMillis - key.timestampEpochMillis();
+		if (age > this.windowMillis) {
+			return KeyVerdict.TOO_OLD;
+		}
+		return (age < -this.futureMillis) ? KeyVerdict.IN_FUTURE : KeyVerdict.ACCEPTED;
+	}
+
+	/**
+	 * Creates a key.
+	 * @param nowEpochMillis the current time in milliseconds since the epoch
+	 * @param random the source of the 74 random bits
+	 * @return a UUID of version 7 in canonical text form
+	 */
+	public static String newKey(long nowEpochMillis, RandomGenerator random) {
+		long high = (nowEpochMillis << TIMESTAMP_SHIFT) | VERSION_BITS | (random.nextLong() & RAND_A_MASK);
+		long low = VARIANT_BITS | (random.nextLong() & RAND_B_MASK);
+		return new UUID(high, low).toString();
+	}
+
+	/**
+	 * Returns which keys a fold has to keep. A claim is sent within the window, so no
+	 * daemon acts on an older key, even if its clock is late by the margin.
+	 * @param nowEpochMillis the current time in milliseconds since the epoch
+	 * @return the creation time of the oldest key to keep
+	 */
+	long oldestKeptKeyEpochMillis(long nowEpochMillis) {
+		return nowEpochMillis - this.windowMillis - 2 * this.clockMarginMillis;
+	}
+
+	/**
+	 * Returns an upper bound for the keys in records that the log has trimmed, provided
+	 * that it keeps its retention.
+	 * @param nowEpochMillis the current time in milliseconds since the epoch
+	 * @return a creation time that no key in a trimmed record has reached
+	 */
+	long newestTrimmedKeyEpochMillis(long nowEpochMillis) {
+		return newestClaimableKeyEpochMillis(nowEpochMillis) - this.retentionMillis;
+	}
+
+	/**
+	 * Returns an upper bound for the keys that a daemon can have claimed until now.
+	 * @param nowEpochMillis the current time in milliseconds since the epoch
+	 * @return a creation time that no claimed key has reached
+	 */
+	long newestClaimableKeyEpochMillis(long nowEpochMillis) {
+		return nowEpochMillis + this.futureMillis + this.clockMarginMillis + 1;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunLog.java
@@ -0,0 +1,43 @@
+package org.comfreyslip.coordination.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * In-memory log of one claim stream, with retention by age.
+ */
+final class ClaimRunLog {
+
+	private final List<Stored> stored = new ArrayList<>();
+
+	private int head;
+
+	void append(ClaimBatch batch, long nowMillis) {
+		this.stored.add(new Stored(batch, nowMillis));
+	}
+
+	int trim(long olderThanMillis) {
+		int before = this.head;
+		while (this.head < this.stored.size() && this.stored.get(this.head).millis() < olderThanMillis) {
+			this.head++;
+		}
+		return this.head - before;
+	}
+
+	int head() {
+		return this.head;
+	}
+
+	int tail() {
+		return this.stored.size();
+	}
+
+	ClaimBatch get(long offset) {
+		return this.stored.get((int) offset).batch();
+	}
+
+	private record Stored(ClaimBatch batch, long millis) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunTests.java
@@ -0,0 +1,45 @@
+package org.comfreyslip.coordination.claim;
+
+import java.util.Map;
+
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tag;
+import net.jqwik.api.lifecycle.AfterContainer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against double execution, false 'not run' answers and lost answers under lost
+ * log responses, delays, duplicates, pauses, crashes, retries and retention.
+ */
+class ClaimRunTests {
+
+	private static final Map<String, Long> COUNTS = ClaimRun.newCounts();
+
+	@AfterContainer
+	static void everyFaultWasExercised() {
+		System.out.println("claim runs: " + COUNTS);
+		assertThat(COUNTS).containsKeys("append repeated", "append takes effect late", "append refused",
+				"daemon paused", "daemon paused beyond the retention", "daemon crashed and restarted",
+				"trimmed before it was read", "first byte refused after send-by", "first byte refused after not run",
+				"response lost", "record Release", "refused by service after send-by", "retry with an earlier key",
+				"log outage", "queue full");
+	}
+
+	@Property(tries = 120, seed = "4172", shrinking = ShrinkingMode.OFF, edgeCases = EdgeCasesMode.NONE)
+	void noCallRunsTwiceOrAfterItsCallerWasToldNotRun(@ForAll long seed) {
+		new ClaimRun(seed, COUNTS).execute(1500);
+	}
+
+	// mvn -o -B -ntp verify -pl comfreyslip-coordination -am -Dtest.excludedGroups=
+	// -Dtest=ClaimRunTests -Dsurefire.failIfNoSpecifiedTests=false
+	@Tag("long")
+	@Property(tries = 4000, seed = "90210", shrinking = ShrinkingMode.OFF, edgeCases = EdgeCasesMode.NONE)
+	void noCallRunsTwiceOrAfterItsCallerWasToldNotRunInLongRuns(@ForAll long seed) {
+		new ClaimRun(seed, COUNTS).execute(3000);
+	}
+
+}
