--- /dev/null
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/config/ConfigDelta.java
@@ -0,0 +1,284 @@
+package org.comfreyslip.coordination.config;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.digest.Sha256;
+
+/**
+ * Difference between two texts as runs of lines that are copied from the base and lines
+ * that are inserted.
+ *
+ * @param baseDigest SHA-256 of the text that the difference applies to
+ * @param resultDigest SHA-256 of the text that it leads to
+ * @param edits the edits, in the order of the result
+ */
+public record ConfigDelta(String baseDigest, String resultDigest, List<Edit> edits) {
+
+	private static final String LINE_END = "\n";
+
+	private static final byte COPY = 0;
+
+	private static final byte INSERT = 1;
+
+	/**
+	 * Creates a difference.
+	 * @param baseDigest SHA-256 of the base
+	 * @param resultDigest SHA-256 of the result
+	 * @param edits the edits
+	 */
+	public ConfigDelta {
+		edits = List.copyOf(edits);
+	}
+
+	/**
+	 * Computes the difference between two texts. The time grows with the number of lines,
+	 * not with its square: each line that is not in the common prefix or suffix is looked
+	 * up once.
+	 * @param base the text that the receiver has
+	 * @param result the text that it needs
+	 * @return the difference
+	 */
+	public static ConfigDelta between(String base, String result) {
+		List<String> from = lines(base);
+		List<String> to = lines(result);
+		List<Edit> edits = new ArrayList<>();
+		Map<String, Integer> positions = positions(from);
+		int next = 0;
+		int expected = 0;
+		while (next < to.size()) {
+			int start = start(from, to.get(next), expected, positions);
+			int count = (start < 0) ? 0 : equalLines(from, start, to, next);
+			if (count > 0) {
+				edits.add(new Copy(start, count));
+				next += count;
+				expected = start + count;
+			}
+			else {
+				int end = endOfInserted(to, next, positions);
+				edits.add(new Insert(to.subList(next, end)));
+				expected += end - next;
+				next = end;
+			}
+		}
+		return new ConfigDelta(Sha256.ofText(base), Sha256.ofText(result), edits);
+	}
+
+	/**
+	 * Applies the difference.
+	 * @param base the text that the difference was computed from
+	 * @return the resulting text
+	 * @throws CodedException with {@link ErrorCode#BAD_REQUEST} if the base or the result
+	 * has another digest; the whole text is to be fetched then
+	 */
+	public String applyTo(String base) {
+		requireDigest(this.baseDigest, base, "base");
+		List<String> from = lines(base);
+		List<String> to = new ArrayList<>();
+		for (Edit edit : this.edits) {
+			to.addAll(edit.linesOf(from));
+		}
+		String result = String.join(LINE_END, to);
+		requireDigest(this.resultDigest, result, "result");
+		return result;
+	}
+
+	/**
+	 * Encodes the difference for a message.
+	 * @return the bytes
+	 */
+	public byte[] encode() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		writeText(out, this.baseDigest);
+		writeText(out, this.resultDigest);
+		for (Edit edit : this.edits) {
+			edit.writeTo(out);
+		}
+		return out.toByteArray();
+	}
+
+	/**
+	 * Decodes a difference.
+	 * @param bytes the bytes that {@link #encode()} returned
+	 * @return the difference
+	 * @throws CodedException with {@link ErrorCode#BAD_REQUEST} if the bytes are damaged
+	 */
+	public static ConfigDelta decode(byte[] bytes) {
+		ByteBuffer in = ByteBuffer.wrap(bytes);
+		try {
+			String base = readText(in);
+			String result = readText(in);
+			List<Edit> edits = new ArrayList<>();
+			while (in.hasRemaining()) {
+				edits.add(readEdit(in));
+			}
+			return new ConfigDelta(base, result, edits);
+		}
+		catch (BufferUnderflowException ex) {
+			throw new CodedException(ErrorCode.BAD_REQUEST, "the configuration difference is cut off", ex);
+		}
+	}
+
+	private static Map<String, Integer> positions(List<String> lines) {
+		Map<String, Integer> positions = new HashMap<>();
+		for (int i = 0; i < lines.size(); i++) {
+			positions.putIfAbsent(lines.get(i), i);
+		}
+		return positions;
+	}
+
+	// The line after the last run is preferred over the first equal line, because blank
+	// lines and keys repeat in every section and would otherwise split the runs.
+	private static int start(List<String> from, String line, int expected, Map<String, Integer> positions) {
+		if (expected < from.size() && from.get(expected).equals(line)) {
+			return expected;
+		}
+		return positions.getOrDefault(line, -1);
+	}
+
+	private static int equalLines(List<String> from, int start, List<String> to, int next) {
+		int count = 0;
+		while (start + count < from.size() && next + count < to.size()
+				&& from.get(start + count).equals(to.get(next + count))) {
+			count++;
+		}
+		return count;
+	}
+
+	private static int endOfInserted(List<String> to, int next, Map<String, Integer> positions) {
+		int end = next + 1;
+		while (end < to.size() && !positions.containsKey(to.get(end))) {
+			end++;
+		}
+		return end;
+	}
+
+	private static void requireDigest(String expected, String text, String name) {
+		if (!expected.equals(Sha256.ofText(text))) {
+			throw new CodedException(ErrorCode.BAD_REQUEST,
+					"the " + name + " of the configuration difference has another digest than " + expected);
+		}
+	}
+
+	private static List<String> lines(String text) {
+		return List.of(text.split(LINE_END, -1));
+	}
+
+	private static Edit readEdit(ByteBuffer in) {
+		byte kind = in.get();
+		if (kind == COPY) {
+			return new Copy(readCount(in), readCount(in));
+		}
+		if (kind == INSERT) {
+			return new Insert(lines(readText(in)));
+		}
+		throw new CodedException(ErrorCode.BAD_REQUEST, "the configuration difference has an unknown edit " + kind);
+	}
+
+	private static void writeText(ByteArrayOutputStream out, String text) {
+		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+		writeCount(out, bytes.length);
+		out.writeBytes(bytes);
+	}
+
+	private static String readText(ByteBuffer in) {
+		int length = readCount(in);
+		if (length < 0 || length > in.remaining()) {
+			throw new BufferUnderflowException();
+		}
+		byte[] bytes = new byte[length];
+		in.get(bytes);
+		return new String(bytes, StandardCharsets.UTF_8);
+	}
+
+	private static void writeCount(ByteArrayOutputStream out, int count) {
+		out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(count).array());
+	}
+
+	private static int readCount(ByteBuffer in) {
+		return in.getInt();
+	}
+
+	/**
+	 * One edit of a difference.
+	 */
+	public sealed interface Edit {
+
+		/**
+		 * Returns the lines that the edit adds to the result.
+		 * @param base the lines of the base
+		 * @return the lines
+		 */
+		List<String> linesOf(List<String> base);
+
+		/**
+		 * Writes the edit.
+		 * @param out where to write
+		 */
+		void writeTo(ByteArrayOutputStream out);
+
+	}
+
+	/**
+	 * Copies lines of the base.
+	 *
+	 * @param start index of the first line
+	 * @param count number of lines
+	 */
+	public record Copy(int start, int count) implements Edit {
+
+		@Override
+		public List<String> linesOf(List<String> base) {
+			if (this.start < 0 || this.count < 0 || this.count > base.size() - this.start) {
+				throw new CodedException(ErrorCode.BAD_REQUEST,
+						"the configuration difference copies lines that its base does not have");
+			}
+			return base.subList(this.start, this.start + this.count);
+		}
+
+		@Override
+		public void writeTo(ByteArrayOutputStream out) {
+			out.write(COPY);
+			writeCount(out, this.start);
+			writeCount(out, this.count);
+		}
+
+	}
+
+	/**
+	 * Inserts new lines.
+	 *
+	 * @param lines the lines without line ends
+	 */
+	public record Insert(List<String> lines) implements Edit {
+
+		/**
+		 * Creates an insertion.
+		 * @param lines the lines
+		 */
+		public Insert {
+			lines = List.copyOf(lines);
+		}
+
+		@Override
+		public List<String> linesOf(List<String> base) {
+			return this.lines;
+		}
+
+		@Override
+		public void writeTo(ByteArrayOutputStream out) {
+			out.write(INSERT);
+			writeText(out, String.join(LINE_END, this.lines));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/digest/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Message digests for records and texts.
+ */
+package org.comfreyslip.coordination.digest;
--- /dev/null
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/drain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Graceful shutdown of a daemon.
+ */
+package org.comfreyslip.coordination.drain;
