Add endpoint, planning, admission, cache, placement and bound decisions

The daemon relays every step, so the score of a stage does not depend on the stage before it. Planning therefore keeps one cost per layer boundary instead of one per boundary and data centre. A state with the previous engine's data centre was considered and ruled out for that reason.

A half-open endpoint gets one probe that its owner settles. Calls from before an ejection do not end it.

Placement treats an engine with an open order as loading, because it may stop serving at any time after the order.

--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/admission/ConcurrencyLimit.java
@@ -0,0 +1,77 @@
+package org.comfreyslip.routing.admission;
+
+/**
+ * Concurrency limit that follows latency: it falls when recent latency exceeds the
+ * long-term one, and rises by a queue allowance while latency is steady and the limit is
+ * in use. The latency of a model request is its time to first token; the time of a whole
+ * response depends on its length.
+ */
+public final class ConcurrencyLimit {
+
+	/**
+	 * Recent latency up to this multiple of the long-term one does not lower the limit.
+	 */
+	public static final double TOLERANCE = 1.5;
+
+	/** Lower limit; one slow endpoint must not close a daemon. */
+	public static final int MIN_LIMIT = 8;
+
+	private static final double RECENT_GAIN = 0.1;
+
+	private static final double LONG_GAIN = 0.002;
+
+	private static final double SMOOTHING = 0.1;
+
+	private static final double MIN_GRADIENT = 0.5;
+
+	private final int maxLimit;
+
+	private double limit;
+
+	private double recentNanos;
+
+	private double longNanos;
+
+	/**
+	 * Creates a limit.
+	 * @param initial the limit at the start
+	 * @param max the highest limit
+	 */
+	public ConcurrencyLimit(int initial, int max) {
+		this.maxLimit = Math.max(MIN_LIMIT, max);
+		this.limit = Math.max(MIN_LIMIT, Math.min(this.maxLimit, initial));
+	}
+
+	/**
+	 * Takes the latency of a request.
+	 * @param latencyNanos the latency in ns
+	 * @param inFlight the open requests when it was measured
+	 */
+	public void onSample(long latencyNanos, int inFlight) {
+		if (this.longNanos == 0) {
+			this.longNanos = latencyNanos;
+			this.recentNanos = latencyNanos;
+		}
+		this.recentNanos += RECENT_GAIN * (latencyNanos - this.recentNanos);
+		this.longNanos += LONG_GAIN * (latencyNanos - this.longNanos);
+		// After an overload the long-term value is too high and would hide the next one.
+		this.longNanos = Math.min(this.longNanos, 2 * this.recentNanos);
+		double gradient = TOLERANCE * this.longNanos / Math.max(1, this.recentNanos);
+		double bounded = Math.max(MIN_GRADIENT, Math.min(1, gradient));
+		double target = this.limit * bounded + Math.sqrt(this.limit);
+		if (target > this.limit && inFlight < this.limit / 2) {
+			return;
+		}
+		double next = this.limit + SMOOTHING * (target - this.limit);
+		this.limit = Math.max(MIN_LIMIT, Math.min(this.maxLimit, next));
+	}
+
+	/**
+	 * Returns the limit.
+	 * @return the number of requests that may be open
+	 */
+	public int limit() {
+		return (int) this.limit;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/admission/RetryAfter.java
@@ -0,0 +1,33 @@
+package org.comfreyslip.routing.admission;
+
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * The time after which a refused caller may come back. It is at least the expected drain
+ * time and is spread over as long again, so that refused callers do not return together.
+ */
+public final class RetryAfter {
+
+	/** Shortest time, in ms; the header has a resolution of one second. */
+	public static final long MIN_MILLIS = 1_000;
+
+	/** Longest time before jitter, in ms. */
+	public static final long MAX_MILLIS = 60_000;
+
+	private RetryAfter() {
+	}
+
+	/**
+	 * Returns when to come back.
+	 * @param drainNanos the expected time until there is room, in ns
+	 * @param random the source of the jitter
+	 * @return the time in ms, at most twice {@link #MAX_MILLIS}
+	 */
+	public static long millis(long drainNanos, RandomGenerator random) {
+		long drain = TimeUnit.NANOSECONDS.toMillis(drainNanos);
+		long base = Math.max(MIN_MILLIS, Math.min(MAX_MILLIS, drain));
+		return base + random.nextLong(base + 1);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Admission by deadline, priority, account share and concurrency; retries.
+ */
+package org.comfreyslip.routing.admission;
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/bound/EngineRate.java
@@ -0,0 +1,13 @@
+package org.comfreyslip.routing.bound;
+
+import org.comfreyslip.routing.topology.LayerRange;
+
+/**
+ * The rate at which an engine runs its layer range.
+ *
+ * @param engine the engine's name
+ * @param layers its layer range
+ * @param tokensPerSecond its rate, not negative
+ */
+public record EngineRate(String engine, LayerRange layers, double tokensPerSecond) {
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/bound/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Upper bounds of the throughput of models and services.
+ */
+package org.comfreyslip.routing.bound;
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/cache/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Index of the engines' prompt-prefix caches.
+ */
+package org.comfreyslip.routing.cache;
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointPolicy.java
@@ -0,0 +1,113 @@
+package org.comfreyslip.routing.endpoint;
+
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * How one of several endpoints is selected.
+ */
+public enum EndpointPolicy {
+
+	/** Any endpoint with equal probability. */
+	RANDOM {
+		@Override
+		int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+			return random.nextInt(candidates.size());
+		}
+	},
+
+	/** One after the other. */
+	ROUND_ROBIN {
+		@Override
+		int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+			return (int) Math.floorMod(turn, (long) candidates.size());
+		}
+	},
+
+	/** The one with the fewest open calls of this daemon; ties are broken at random. */
+	LEAST_OUTSTANDING {
+		@Override
+		int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+			int best = 0;
+			int ties = 1;
+			for (int i = 1; i < candidates.size(); i++) {
+				int difference = candidates.get(i).outstanding() - candidates.get(best).outstanding();
+				ties = (difference == 0) ? ties + 1 : ties;
+				if (difference < 0 || (difference == 0 && random.nextInt(ties) == 0)) {
+					best = i;
+					ties = (difference < 0) ? 1 : ties;
+				}
+			}
+			return best;
+		}
+	},
+
+	/** The one with the shorter expected queue of two random ones. */
+	TWO_CHOICES {
+		@Override
+		int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+			int first = random.nextInt(candidates.size());
+			int second = other(first, candidates.size(), random);
+			return lower(candidates, first, second, EndpointCandidate::queue);
+		}
+	},
+
+	/**
+	 * The one that is expected to complete the call first of two that are drawn in
+	 * proportion to their rates. Drawing by rate sends fast kinds more calls even when
+	 * the reports are stale; comparing only two keeps daemons with the same report apart.
+	 */
+	WEIGHTED {
+		@Override
+		int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+			int first = drawByRate(candidates, random);
+			int second = drawByRate(candidates, random);
+			return lower(candidates, first, second, EndpointCandidate::expectedNanos);
+		}
+	};
+
+	/**
+	 * Selects an endpoint.
+	 * @param candidates the endpoints that may take the call, at least one
+	 * @param turn a number that the caller increases by one with each call
+	 * @param random the source of random numbers
+	 * @return one of the candidates
+	 */
+	public EndpointCandidate select(List<EndpointCandidate> candidates, long turn, RandomGenerator random) {
+		return candidates.get(index(candidates, turn, random));
+	}
+
+	abstract int index(List<EndpointCandidate> candidates, long turn, RandomGenerator random);
+
+	private static int other(int first, int size, RandomGenerator random) {
+		if (size == 1) {
+			return first;
+		}
+		int drawn = random.nextInt(size - 1);
+		return (drawn < first) ? drawn : drawn + 1;
+	}
+
+	private static int lower(List<EndpointCandidate> candidates, int first, int second,
+			ToDoubleFunction<EndpointCandidate> cost) {
+		double a = cost.applyAsDouble(candidates.get(first));
+		double b = cost.applyAsDouble(candidates.get(second));
+		return (b < a) ? second : first;
+	}
+
+	private static int drawByRate(List<EndpointCandidate> candidates, RandomGenerator random) {
+		double total = 0;
+		for (EndpointCandidate candidate : candidates) {
+			total += candidate.rate();
+		}
+		double mark = random.nextDouble() * total;
+		for (int i = 0; i < candidates.size() - 1; i++) {
+			mark -= candidates.get(i).rate();
+			if (mark < 0) {
+				return i;
+			}
+		}
+		return candidates.size() - 1;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointTable.java
@@ -0,0 +1,155 @@
+package org.comfreyslip.routing.endpoint;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * All endpoints of all services and models by name. The caller holds the lock of the
+ * table during each call.
+ */
+public final class EndpointTable {
+
+	/** Time of one call while none was measured, in ns. */
+	public static final long DEFAULT_SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private final Map<String, EndpointEntry> byName = new LinkedHashMap<>();
+
+	private final Map<String, List<EndpointEntry>> byGroup = new LinkedHashMap<>();
+
+	private long turn;
+
+	/**
+	 * Sets the endpoints of a service or model. Endpoints that stay keep their state.
+	 * @param group the service or model
+	 * @param names the names of its endpoints
+	 * @param nowNanos the current time in ns
+	 */
+	public void assign(String group, Collection<String> names, long nowNanos) {
+		List<EndpointEntry> next = new ArrayList<>();
+		for (String name : names) {
+			EndpointEntry known = this.byName.get(name);
+			boolean stays = known != null && known.group().equals(group);
+			next.add(
+					(stays) ? known : new EndpointEntry(name, group, new EndpointHealth(nowNanos), new EndpointLoad()));
+		}
+		for (EndpointEntry old : this.byGroup.getOrDefault(group, List.of())) {
+			this.byName.remove(old.name(), old);
+		}
+		next.forEach((entry) -> this.byName.put(entry.name(), entry));
+		this.byGroup.put(group, next);
+	}
+
+	/**
+	 * Finds an endpoint.
+	 * @param name the endpoint's name
+	 * @return the endpoint, or empty
+	 */
+	public Optional<EndpointEntry> find(String name) {
+		return Optional.ofNullable(this.byName.get(name));
+	}
+
+	/**
+	 * Returns the endpoints of a service or model.
+	 * @param group the service or model
+	 * @return the endpoints, possibly none
+	 */
+	public List<EndpointEntry> endpoints(String group) {
+		return List.copyOf(this.byGroup.getOrDefault(group, List.of()));
+	}
+
+	/**
+	 * Selects an endpoint and starts a call. An endpoint that is due for a half-open
+	 * probe gets the call first, because without a call it would never recover.
+	 * @param group the service or model
+	 * @param policy how to select
+	 * @param excluded the names of endpoints that may not take the call
+	 * @param mayProbe whether the call may be a half-open probe; a call that must not be
+	 * repeated may not
+	 * @param nowNanos the current time in ns
+	 * @param random the source of random numbers
+	 * @return the started call, or empty if no endpoint may take it
+	 */
+	public Optional<EndpointCall> start(String group, EndpointPolicy policy, Set<String> excluded, boolean mayProbe,
+			long nowNanos, RandomGenerator random) {
+		List<EndpointCandidate> candidates = new ArrayList<>();
+		List<EndpointEntry> entries = new ArrayList<>();
+		for (EndpointEntry entry : this.byGroup.getOrDefault(group, List.of())) {
+			if (excluded.contains(entry.name())) {
+				continue;
+			}
+			EndpointGrant grant = entry.health().grant(nowNanos);
+			if (grant == EndpointGrant.PROBE && mayProbe) {
+				return Optional.of(start(entry, nowNanos));
+			}
+			if (grant == EndpointGrant.NORMAL) {
+				entries.add(entry);
+				candidates.add(entry.candidate(nowNanos, DEFAULT_SERVICE_NANOS));
+			}
+		}
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		EndpointCandidate chosen = policy.select(candidates, this.turn++, random);
+		return Optional.of(start(entries.get(candidates.indexOf(chosen)), nowNanos));
+	}
+
+	/**
+	 * Starts a call to a given endpoint, for example a stage of a plan.
+	 * @param name the endpoint's name
+	 * @param nowNanos the current time in ns
+	 * @return the started call, or empty if the endpoint is unknown or may not take it
+	 */
+	public Optional<EndpointCall> startAt(String name, long nowNanos) {
+		EndpointEntry entry = this.byName.get(name);
+		if (entry == null || entry.health().grant(nowNanos) == EndpointGrant.REFUSED) {
+			return Optional.empty();
+		}
+		return Optional.of(start(entry, nowNanos));
+	}
+
+	/**
+	 * Settles a call that succeeded.
+	 * @param call the call
+	 * @param nowNanos the current time in ns
+	 * @param unitNanos the measured time per unit of work, in ns
+	 */
+	public void succeed(EndpointCall call, long nowNanos, long unitNanos) {
+		call.entry().load().onEnd();
+		call.entry().health().onSuccess(call.grant(), nowNanos, unitNanos);
+	}
+
+	/**
+	 * Settles a call that failed.
+	 * @param call the call
+	 * @param failure how it failed
+	 * @param nowNanos the current time in ns
+	 * @param random the source of the back-off's jitter
+	 */
+	public void fail(EndpointCall call, EndpointFailure failure, long nowNanos, RandomGenerator random) {
+		call.entry().load().onEnd();
+		call.entry().health().onFailure(call.grant(), failure, nowNanos, random);
+	}
+
+	/**
+	 * Settles a call that says nothing about the endpoint.
+	 * @param call the call
+	 */
+	public void abandon(EndpointCall call) {
+		call.entry().load().onEnd();
+		call.entry().health().onAbandoned(call.grant());
+	}
+
+	private EndpointCall start(EndpointEntry entry, long nowNanos) {
+		EndpointGrant grant = entry.health().start(nowNanos);
+		entry.load().onStart();
+		return new EndpointCall(entry, grant);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Health, load and selection of endpoints.
+ */
+package org.comfreyslip.routing.endpoint;
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/placement/PlacementPlanner.java
@@ -0,0 +1,257 @@
+package org.comfreyslip.routing.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreyslip.routing.invariant.Invariants;
+import org.comfreyslip.routing.placement.PlacementOrder.LoadAdapter;
+import org.comfreyslip.routing.placement.PlacementOrder.LoadRange;
+import org.comfreyslip.routing.placement.PlacementOrder.UnloadAdapter;
+import org.comfreyslip.routing.topology.LayerRange;
+
+/**
+ * Decides which engines are to hold which models, versions and adapters. Only the holder
+ * of the placement lease runs it. An engine is given something else only while other
+ * engines that serve now carry the demand of its layers without it.
+ */
+public final class PlacementPlanner {
+
+	/** Utilisation above which a layer range gets a further engine. */
+	public static final double HIGH_UTILISATION = 0.8;
+
+	/**
+	 * Highest utilisation of the layers that an engine leaves. The distance to
+	 * {@link #HIGH_UTILISATION} keeps the engine from being called back at once.
+	 */
+	public static final double LOW_UTILISATION = 0.6;
+
+	/** Time for which demand has to be high before an engine is moved, in ns. */
+	public static final long HIGH_FOR_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	/** Time for which an engine stays where it was moved, in ns. */
+	public static final long STAY_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+	/**
+	 * Time after which an order without visible effect no longer counts as a load, in ns.
+	 */
+	public static final long ORDER_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+	private final int maxLoads;
+
+	private final Map<String, Long> highSince = new HashMap<>();
+
+	private final Map<String, Long> movedAt = new HashMap<>();
+
+	private final Map<String, PendingLoad> pending = new HashMap<>();
+
+	/**
+	 * Creates a planner.
+	 * @param maxLoads the loads at once that the weight store's rate allows
+	 */
+	public PlacementPlanner(int maxLoads) {
+		this.maxLoads = maxLoads;
+	}
+
+	/**
+	 * Decides on orders.
+	 * @param targets what the models need
+	 * @param engines what the engines hold
+	 * @param nowNanos the current time in ns
+	 * @return the orders, in the order in which they are to be given
+	 */
+	public List<PlacementOrder> decide(List<PlacementTarget> targets, List<PlacementEngine> engines, long nowNanos) {
+		this.movedAt.values().removeIf((moved) -> nowNanos - moved >= STAY_NANOS);
+		this.pending.values().removeIf((load) -> nowNanos - load.atNanos() >= ORDER_NANOS);
+		engines.stream().filter(this::isPendingDone).forEach((engine) -> this.pending.remove(engine.name()));
+		List<PlacementEngine> expected = engines.stream().map(this::expected).toList();
+		Round round = new Round(targets, expected, nowNanos);
+		round.busy = expected.stream().filter(this::isBusy).count();
+		targets.forEach((target) -> relieve(target, round));
+		expected.forEach((engine) -> upgrade(engine, round));
+		expected.forEach((engine) -> adapt(engine, round));
+		if (round.loads > 0 && round.busy > this.maxLoads) {
+			throw Invariants.violated(round.busy + " loads at once exceed the limit " + this.maxLoads);
+		}
+		return List.copyOf(round.orders);
+	}
+
+	private boolean isBusy(PlacementEngine engine) {
+		return !engine.serving() || this.pending.containsKey(engine.name());
+	}
+
+	/**
+	 * Returns an engine as if its order had taken effect and it were loading. An engine
+	 * may stop serving at any time after the order, so others must not rely on it.
+	 * @param engine the engine as it reports itself
+	 * @return the engine as the decision sees it
+	 */
+	private PlacementEngine expected(PlacementEngine engine) {
+		PendingLoad load = this.pending.get(engine.name());
+		if (load != null && load.order() instanceof LoadRange order) {
+			return new PlacementEngine(engine.name(), order.model(), order.version(), order.layers(), engine.adapters(),
+					false, engine.layerTokensPerSecond(), engine.maxLayers());
+		}
+		return engine;
+	}
+
+	private boolean isPendingDone(PlacementEngine engine) {
+		PendingLoad load = this.pending.get(engine.name());
+		return load != null && engine.serving() && isDone(load.order(), engine);
+	}
+
+	private static boolean isDone(PlacementOrder order, PlacementEngine engine) {
+		if (order instanceof LoadRange range) {
+			return range.model().equals(engine.model()) && range.version().equals(engine.version())
+					&& range.layers().equals(engine.layers());
+		}
+		return order instanceof LoadAdapter adapter && engine.adapters().contains(adapter.adapter());
+	}
+
+	private void relieve(PlacementTarget target, Round round) {
+		LayerCapacity capacity = round.capacities.get(target.model());
+		int layer = capacity.weakestLayer();
+		boolean uncovered = capacity.isUncovered(layer);
+		if (!uncovered && target.tokensPerSecond() <= HIGH_UTILISATION * capacity.planned(layer)) {
+			this.highSince.remove(target.model());
+			return;
+		}
+		long since = this.highSince.computeIfAbsent(target.model(), (model) -> round.nowNanos);
+		if (!uncovered && round.nowNanos - since < HIGH_FOR_NANOS) {
+			return;
+		}
+		LayerRange range = (uncovered) ? capacity.uncoveredRun(layer) : round.rangeAt(target.model(), layer);
+		PlacementReason reason = (uncovered) ? PlacementReason.UNCOVERED : PlacementReason.DEMAND;
+		donor(target, range, reason, round).ifPresent((engine) -> {
+			LayerRange part = new LayerRange(range.first(), Math.min(range.end(), range.first() + engine.maxLayers()));
+			move(engine, new LoadRange(engine.name(), target.model(), target.version(), part, reason), round);
+		});
+	}
+
+	private Optional<PlacementEngine> donor(PlacementTarget target, LayerRange range, PlacementReason reason,
+			Round round) {
+		if (round.busy >= this.maxLoads) {
+			return Optional.empty();
+		}
+		return round.engines.stream()
+			.filter((engine) -> !isBusy(engine) && !this.movedAt.containsKey(engine.name()))
+			.filter((engine) -> !(engine.model().equals(target.model()) && engine.layers().equals(range)))
+			.filter((engine) -> engine.maxLayers() >= range.count() || reason == PlacementReason.UNCOVERED)
+			.filter((engine) -> round.canSpare(engine, LOW_UTILISATION))
+			.max((a, b) -> Double.compare(a.layerTokensPerSecond(), b.layerTokensPerSecond()));
+	}
+
+	private void upgrade(PlacementEngine engine, Round round) {
+		PlacementTarget target = round.targets.get(engine.model());
+		if (target == null || target.version().equals(engine.version()) || isBusy(engine) || round.busy >= this.maxLoads
+				|| !round.canSpare(engine, 1)) {
+			return;
+		}
+		move(engine, new LoadRange(engine.name(), engine.model(), target.version(), engine.layers(),
+				PlacementReason.VERSION), round);
+	}
+
+	private void adapt(PlacementEngine engine, Round round) {
+		PlacementTarget target = round.targets.get(engine.model());
+		if (target == null || isBusy(engine)) {
+			return;
+		}
+		Optional<String> missing = target.adapters()
+			.stream()
+			.sorted()
+			.filter((adapter) -> !engine.adapters().contains(adapter))
+			.findFirst();
+		if (missing.isPresent()) {
+			if (round.busy < this.maxLoads) {
+				order(new LoadAdapter(engine.name(), missing.get()), round);
+			}
+			return;
+		}
+		engine.adapters()
+			.stream()
+			.sorted()
+			.filter((adapter) -> !target.adapters().contains(adapter))
+			.forEach((adapter) -> round.orders.add(new UnloadAdapter(engine.name(), adapter)));
+	}
+
+	private void move(PlacementEngine engine, LoadRange order, Round round) {
+		LayerCapacity from = round.capacities.get(engine.model());
+		if (from != null) {
+			from.remove(engine.layers(), engine.rate(engine.layers()));
+		}
+		round.capacities.get(order.model()).add(order.layers(), engine.rate(order.layers()), false);
+		this.movedAt.put(engine.name(), round.nowNanos);
+		order(order, round);
+	}
+
+	private void order(PlacementOrder order, Round round) {
+		this.pending.put(order.engine(), new PendingLoad(order, round.nowNanos));
+		round.busy++;
+		round.loads++;
+		round.orders.add(order);
+	}
+
+	/**
+	 * An order whose effect is not yet seen.
+	 *
+	 * @param order the order
+	 * @param atNanos when it was given, in ns
+	 */
+	private record PendingLoad(PlacementOrder order, long atNanos) {
+	}
+
+	/**
+	 * Data of one decision.
+	 */
+	private static final class Round {
+
+		private final Map<String, PlacementTarget> targets = new HashMap<>();
+
+		private final Map<String, LayerCapacity> capacities = new HashMap<>();
+
+		private final List<PlacementEngine> engines;
+
+		private final List<PlacementOrder> orders = new ArrayList<>();
+
+		private final long nowNanos;
+
+		private long busy;
+
+		private int loads;
+
+		private Round(List<PlacementTarget> targets, List<PlacementEngine> engines, long nowNanos) {
+			this.engines = engines;
+			this.nowNanos = nowNanos;
+			for (PlacementTarget target : targets) {
+				this.targets.put(target.model(), target);
+				this.capacities.put(target.model(), new LayerCapacity(target.layers()));
+			}
+			for (PlacementEngine engine : engines) {
+				LayerCapacity capacity = this.capacities.get(engine.model());
+				if (capacity != null) {
+					capacity.add(engine.layers(), engine.rate(engine.layers()), engine.serving());
+				}
+			}
+		}
+
+		private boolean canSpare(PlacementEngine engine, double utilisation) {
+			PlacementTarget target = this.targets.get(engine.model());
+			return target == null || this.capacities.get(engine.model())
+				.canSpare(engine.layers(), engine.rate(engine.layers()), target.tokensPerSecond() / utilisation);
+		}
+
+		private LayerRange rangeAt(String model, int layer) {
+			return this.engines.stream()
+				.filter((engine) -> engine.model().equals(model))
+				.map(PlacementEngine::layers)
+				.filter((range) -> range.first() <= layer && layer < range.end())
+				.findFirst()
+				.orElseThrow(() -> Invariants.violated("layer " + layer + " of " + model + " has no engine"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placement of models, versions and adapters on engines.
+ */
+package org.comfreyslip.routing.placement;
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/plan/LinkEstimate.java
@@ -0,0 +1,53 @@
+package org.comfreyslip.routing.plan;
+
+import java.util.concurrent.TimeUnit;
+
+import org.comfreyslip.routing.topology.LinkSpec;
+
+/**
+ * Expected transfer time over one link, raised by measured degradation.
+ */
+final class LinkEstimate {
+
+	/**
+	 * Time in which a measured degradation that is not confirmed loses half of its
+	 * effect, in ns. Without it a link that plans avoid would never be measured again.
+	 */
+	static final long HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	private static final double GAIN = 0.3;
+
+	// A single measured pause must not make a link unusable.
+	private static final double MAX_FACTOR = 1000;
+
+	private final double latencyNanos;
+
+	private final double nanosPerByte;
+
+	private double factor = 1;
+
+	private long measuredAtNanos;
+
+	LinkEstimate(LinkSpec spec) {
+		this.latencyNanos = spec.latencyMicros() * 1e3;
+		this.nanosPerByte = 8e3 / Math.max(1, spec.bandwidthMbit());
+	}
+
+	void onTransfer(long bytes, long elapsedNanos, long nowNanos) {
+		double measured = elapsedNanos / Math.max(1, this.latencyNanos + bytes * this.nanosPerByte);
+		double previous = factor(nowNanos);
+		double sample = Math.max(1, Math.min(MAX_FACTOR, measured));
+		this.factor = previous + GAIN * (sample - previous);
+		this.measuredAtNanos = nowNanos;
+	}
+
+	double factor(long nowNanos) {
+		double halfLives = (double) Math.max(0, nowNanos - this.measuredAtNanos) / HALF_LIFE_NANOS;
+		return 1 + (this.factor - 1) * Math.pow(0.5, halfLives);
+	}
+
+	double transferNanos(double bytes, long nowNanos) {
+		return (this.latencyNanos + bytes * this.nanosPerByte) * factor(nowNanos);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/plan/PlanningTable.java
@@ -0,0 +1,223 @@
+package org.comfreyslip.routing.plan;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreyslip.routing.endpoint.EndpointEntry;
+import org.comfreyslip.routing.endpoint.EndpointGrant;
+import org.comfreyslip.routing.endpoint.EndpointTable;
+import org.comfreyslip.routing.topology.EngineSpec;
+import org.comfreyslip.routing.topology.KindSpec;
+import org.comfreyslip.routing.topology.LinkSpec;
+import org.comfreyslip.routing.topology.ModelSpec;
+import org.comfreyslip.routing.topology.Topology;
+
+/**
+ * What the planner knows: the engines of each model by first layer, expected step times
+ * by kind, links from the daemon's data centre, and load and health from the endpoint
+ * table. A new table is built for each accepted configuration; measured times and
+ * degradations start anew.
+ */
+public final class PlanningTable {
+
+	/** Bytes of the activations of one token between two stages. */
+	public static final int BYTES_PER_TOKEN = 16 * 1024;
+
+	/**
+	 * Time of one prompt token relative to one emitted token. The prompt is one batched
+	 * step, which uses the accelerator far better.
+	 */
+	public static final double PREFILL_SHARE = 1.0 / 16;
+
+	private static final double STEP_GAIN = 0.05;
+
+	// A link that the operators' text does not name is taken as slow, so that plans
+	// prefer the named ones.
+	private static final int UNNAMED_LINK_MBIT = 100;
+
+	private static final int UNNAMED_LINK_MICROS = 20_000;
+
+	private static final int LOCAL_MBIT = 10_000;
+
+	private static final int LOCAL_MICROS = 50;
+
+	private final String home;
+
+	private final Map<String, PlanningModel> models = new HashMap<>();
+
+	private final Map<String, double[]> layerNanosByKind = new HashMap<>();
+
+	private final Map<String, LinkEstimate> linksByDataCentre = new HashMap<>();
+
+	/**
+	 * Builds the table.
+	 * @param topology the accepted configuration
+	 * @param home the daemon's data centre
+	 * @param endpoints the endpoint table, which knows all engines of the topology by
+	 * name
+	 */
+	public PlanningTable(Topology topology, String home, EndpointTable endpoints) {
+		this.home = home;
+		for (KindSpec kind : topology.kinds()) {
+			this.layerNanosByKind.put(kind.name(), new double[] { kind.layerMicros() * 1e3 });
+		}
+		addLinks(topology);
+		Map<String, List<PlanningEngine>> engines = new HashMap<>();
+		for (EngineSpec spec : topology.engines()) {
+			endpoints.find(spec.name())
+				.ifPresent((entry) -> engines.computeIfAbsent(spec.model(), (key) -> new ArrayList<>())
+					.add(engine(spec, entry)));
+		}
+		for (ModelSpec model : topology.models()) {
+			List<PlanningEngine> own = engines.getOrDefault(model.name(), List.of());
+			this.models.put(model.name(), new PlanningModel(model.name(), model.layers(), own));
+		}
+	}
+
+	/**
+	 * Takes a measured transfer between the daemon's data centre and another.
+	 * @param dataCentre the other data centre
+	 * @param bytes the bytes that were sent
+	 * @param elapsedNanos the one-way time in ns
+	 * @param nowNanos the current time in ns
+	 */
+	public void onTransfer(String dataCentre, long bytes, long elapsedNanos, long nowNanos) {
+		LinkEstimate link = this.linksByDataCentre.get(dataCentre);
+		if (link != null) {
+			link.onTransfer(bytes, elapsedNanos, nowNanos);
+		}
+	}
+
+	/**
+	 * Takes a measured step of one token.
+	 * @param kind the accelerator kind
+	 * @param layers the layers that ran
+	 * @param elapsedNanos the time at the engine without queue, in ns
+	 */
+	public void onStep(String kind, int layers, long elapsedNanos) {
+		double[] layerNanos = this.layerNanosByKind.get(kind);
+		if (layerNanos != null && layers > 0) {
+			layerNanos[0] += STEP_GAIN * ((double) elapsedNanos / layers - layerNanos[0]);
+		}
+	}
+
+	/**
+	 * Returns by what factor transfers to a data centre take longer than configured.
+	 * @param dataCentre the data centre
+	 * @param nowNanos the current time in ns
+	 * @return the factor, at least 1
+	 */
+	public double degradation(String dataCentre, long nowNanos) {
+		LinkEstimate link = this.linksByDataCentre.get(dataCentre);
+		return (link != null) ? link.factor(nowNanos) : 1;
+	}
+
+	PlanningModel model(String name) {
+		return this.models.get(name);
+	}
+
+	/**
+	 * Returns whether an engine takes regular work. Half-open engines recover through the
+	 * daemon's load probes, so that no response depends on an engine that just failed.
+	 * @param engine the engine
+	 * @param request what is planned
+	 * @param nowNanos the current time in ns
+	 * @return {@code true} if the plan may use the engine
+	 */
+	boolean isUsable(PlanningEngine engine, PlanRequest request, long nowNanos) {
+		return engine.entry().health().grant(nowNanos) == EndpointGrant.NORMAL
+				&& !request.excluded().contains(engine.stage().engine());
+	}
+
+	/**
+	 * Returns the score of one stage: link transfer + expected queue wait + step time /
+	 * slow-start weight - prefix credit, over the whole response.
+	 * @param engine the engine
+	 * @param request what is planned
+	 * @param nowNanos the current time in ns
+	 * @return the score in ns, not negative
+	 */
+	double scoreNanos(PlanningEngine engine, PlanRequest request, long nowNanos) {
+		EndpointEntry entry = engine.entry();
+		double tokenNanos = engine.layerNanos()[0] * engine.stage().layers().count();
+		double weight = entry.health().weight(nowNanos);
+		int cached = Math.min(request.promptTokens(), request.cachedTokens().applyAsInt(engine.stage().engine()));
+		double prefill = request.promptTokens() * PREFILL_SHARE * tokenNanos;
+		double credit = prefill * cached / request.promptTokens();
+		double steps = request.expectedTokens() * tokenNanos + prefill;
+		double wait = entry.load().queueEstimate(nowNanos) * tokenNanos * request.expectedTokens();
+		LinkEstimate link = engine.link();
+		double perToken = link.transferNanos(BYTES_PER_TOKEN, nowNanos);
+		double prompt = link.transferNanos((double) BYTES_PER_TOKEN * request.promptTokens(), nowNanos);
+		double transfer = 2 * (request.expectedTokens() * perToken + prompt);
+		return transfer + wait + steps / weight - credit;
+	}
+
+	private PlanningEngine engine(EngineSpec spec, EndpointEntry entry) {
+		double[] layerNanos = this.layerNanosByKind.computeIfAbsent(spec.kind(), (kind) -> new double[] { 1e6 });
+		LinkEstimate link = this.linksByDataCentre.computeIfAbsent(spec.dataCentre(), this::unnamedLink);
+		return new PlanningEngine(StageCandidate.of(spec), entry, layerNanos, link);
+	}
+
+	private void addLinks(Topology topology) {
+		this.linksByDataCentre.put(this.home,
+				new LinkEstimate(new LinkSpec(this.home, this.home, LOCAL_MBIT, LOCAL_MICROS)));
+		for (LinkSpec link : topology.links()) {
+			if (link.from().equals(this.home)) {
+				this.linksByDataCentre.put(link.to(), new LinkEstimate(link));
+			}
+			else if (link.to().equals(this.home)) {
+				this.linksByDataCentre.put(link.from(), new LinkEstimate(link));
+			}
+		}
+	}
+
+	private LinkEstimate unnamedLink(String dataCentre) {
+		return new LinkEstimate(new LinkSpec(this.home, dataCentre, UNNAMED_LINK_MBIT, UNNAMED_LINK_MICROS));
+	}
+
+	/**
+	 * An engine with references to everything its score needs.
+	 *
+	 * @param stage the engine
+	 * @param entry its health and load
+	 * @param layerNanos the time of one layer of its kind, in ns, shared by the kind
+	 * @param link the link to its data centre
+	 */
+	record PlanningEngine(StageCandidate stage, EndpointEntry entry, double[] layerNanos, LinkEstimate link) {
+	}
+
+	/**
+	 * The engines of one model, indexed by first layer.
+	 *
+	 * @param name the model's name
+	 * @param layers the number of layers
+	 * @param byFirstLayer the engines that start at each layer
+	 */
+	record PlanningModel(String name, int layers, List<List<PlanningEngine>> byFirstLayer) {
+
+		PlanningModel(String name, int layers, Iterable<PlanningEngine> engines) {
+			this(name, layers, index(layers, engines));
+		}
+
+		private static List<List<PlanningEngine>> index(int layers, Iterable<PlanningEngine> engines) {
+			List<List<PlanningEngine>> index = new ArrayList<>(Collections.nCopies(layers, List.of()));
+			for (PlanningEngine engine : engines) {
+				int first = engine.stage().layers().first();
+				if (engine.stage().layers().end() > layers) {
+					continue;
+				}
+				if (index.get(first).isEmpty()) {
+					index.set(first, new ArrayList<>());
+				}
+				index.get(first).add(engine);
+			}
+			return index;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/plan/StageCandidate.java
@@ -0,0 +1,26 @@
+package org.comfreyslip.routing.plan;
+
+import org.comfreyslip.routing.topology.EngineSpec;
+import org.comfreyslip.routing.topology.LayerRange;
+
+/**
+ * An engine that can run a layer range of a model.
+ *
+ * @param engine the engine's name
+ * @param model the model it holds
+ * @param layers the layer range it holds
+ * @param dataCentre the data centre it stands in
+ * @param kind its accelerator kind
+ */
+public record StageCandidate(String engine, String model, LayerRange layers, String dataCentre, String kind) {
+
+	/**
+	 * Creates a candidate from the operators' text.
+	 * @param spec the engine
+	 * @return the candidate
+	 */
+	public static StageCandidate of(EngineSpec spec) {
+		return new StageCandidate(spec.name(), spec.model(), spec.layers(), spec.dataCentre(), spec.kind());
+	}
+
+}
