--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/CallFailedException.java
@@ -0,0 +1,34 @@
+package org.comfreyslip.platform;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+
+/**
+ * A call that ended without a complete response.
+ */
+public final class CallFailedException extends CodedException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final boolean sent;
+
+	/**
+	 * Creates the error.
+	 * @param message what was found
+	 * @param sent whether a byte of the call may have left
+	 * @param cause the underlying failure
+	 */
+	public CallFailedException(String message, boolean sent, Throwable cause) {
+		super(ErrorCode.ENDPOINT_FAILED, message, cause);
+		this.sent = sent;
+	}
+
+	/**
+	 * Returns whether the other side may have seen the call.
+	 * @return {@code false} only if no byte of the request was written
+	 */
+	public boolean mayHaveBeenSent() {
+		return this.sent;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/CallState.java
@@ -0,0 +1,32 @@
+package org.comfreyslip.platform;
+
+/**
+ * Tag of an OkHttp call: its limits and how far it got.
+ */
+final class CallState {
+
+	private final HttpCall call;
+
+	private volatile boolean sent;
+
+	CallState(HttpCall call) {
+		this.call = call;
+	}
+
+	HttpCall call() {
+		return this.call;
+	}
+
+	boolean isSent() {
+		return this.sent;
+	}
+
+	boolean tryOpen() {
+		if (!this.call.boundary().getAsBoolean()) {
+			return false;
+		}
+		this.sent = true;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/ErrorBody.java
@@ -0,0 +1,10 @@
+package org.comfreyslip.platform;
+
+/**
+ * Body of an error response of the platform and of the engines.
+ *
+ * @param code name of an {@link org.comfreyslip.coordination.ErrorCode}
+ * @param message what was found
+ */
+public record ErrorBody(String code, String message) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/HttpHeader.java
@@ -0,0 +1,10 @@
+package org.comfreyslip.platform;
+
+/**
+ * One HTTP header.
+ *
+ * @param name the name, case kept
+ * @param value the value
+ */
+public record HttpHeader(String name, String value) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
@@ -0,0 +1,63 @@
+package org.comfreyslip.platform;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+
+/**
+ * JSON of the platform's messages: camelCase keys, byte arrays in base64, absent keys for
+ * {@code null}, unknown keys ignored.
+ */
+public final class PlatformJson {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.setSerializationInclusion(JsonInclude.Include.NON_NULL);
+
+	private PlatformJson() {
+	}
+
+	/**
+	 * Writes a message.
+	 * @param message the message, usually a record
+	 * @return the JSON text in UTF-8
+	 * @throws CodedException with {@link ErrorCode#INVARIANT_VIOLATED} if the type cannot
+	 * be written
+	 */
+	public static byte[] write(Object message) {
+		try {
+			return MAPPER.writeValueAsBytes(message);
+		}
+		catch (JsonProcessingException ex) {
+			throw new CodedException(ErrorCode.INVARIANT_VIOLATED, "cannot write " + message.getClass(), ex);
+		}
+	}
+
+	/**
+	 * Reads a message.
+	 * @param <T> the message type
+	 * @param json the JSON text in UTF-8
+	 * @param type the message type
+	 * @return the message
+	 * @throws CodedException with {@link ErrorCode#BAD_REQUEST} if the text does not fit
+	 */
+	public static <T> T read(byte[] json, Class<T> type) {
+		try {
+			T message = MAPPER.readValue(json, type);
+			if (message == null) {
+				throw new CodedException(ErrorCode.BAD_REQUEST, "null where a " + type.getSimpleName() + " was due");
+			}
+			return message;
+		}
+		catch (IOException ex) {
+			throw new CodedException(ErrorCode.BAD_REQUEST, "not a " + type.getSimpleName() + ": " + ex.getMessage(),
+					ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformTimeouts.java
@@ -0,0 +1,26 @@
+package org.comfreyslip.platform;
+
+/**
+ * Default time limits of calls, in milliseconds.
+ *
+ * @param connectMillis limit for opening a connection
+ * @param readMillis limit for the first byte of a response and between two bytes
+ * @param writeMillis limit for each write
+ */
+public record PlatformTimeouts(int connectMillis, int readMillis, int writeMillis) {
+
+	/** Limits for calls within a region. */
+	public static final PlatformTimeouts DEFAULT = new PlatformTimeouts(1_000, 10_000, 10_000);
+
+	/**
+	 * Checks the limits.
+	 * @throws IllegalArgumentException if a limit is not positive; OkHttp takes zero for
+	 * "no limit"
+	 */
+	public PlatformTimeouts {
+		if (connectMillis <= 0 || readMillis <= 0 || writeMillis <= 0) {
+			throw new IllegalArgumentException("time limits must be positive");
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/EngineClient.java
@@ -0,0 +1,156 @@
+package org.comfreyslip.platform.engine;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.platform.PlatformFutures;
+import org.comfreyslip.platform.PlatformHttp;
+
+/**
+ * Client of one model engine. A refusal is a {@link CodedException} with the engine's
+ * code; a call without a complete response is a {@link CallFailedException}. Cancelling a
+ * returned future cancels the call, not the engine's work.
+ */
+public final class EngineClient {
+
+	/** Header with the number of positions of a KV cache. */
+	public static final String KV_POSITIONS = "Kv-Positions";
+
+	private final PlatformHttp http;
+
+	private final String address;
+
+	private final int limitMillis;
+
+	/**
+	 * Creates a client.
+	 * @param http the shared HTTP client
+	 * @param address ip:port of the engine
+	 * @param limitMillis time limit of all calls but steps
+	 */
+	public EngineClient(PlatformHttp http, String address, int limitMillis) {
+		this.http = http;
+		this.address = address;
+		this.limitMillis = limitMillis;
+	}
+
+	/**
+	 * Splits a text into tokens.
+	 * @param request the text
+	 * @return the tokens
+	 */
+	public CompletableFuture<TokenizeReply> tokenize(TokenizeRequest request) {
+		return call(HttpCall.post(this.address, "/v1/tokenize", request), TokenizeReply.class);
+	}
+
+	/**
+	 * Runs a step.
+	 * @param request the step
+	 * @param stepMillis time limit of the step in milliseconds
+	 * @return the result
+	 */
+	public CompletableFuture<StepReply> step(StepRequest request, int stepMillis) {
+		HttpCall call = HttpCall.post(this.address, "/v1/step", request).within(stepMillis);
+		return PlatformFutures.map(this.http.send(call), (reply) -> reply.json(StepReply.class));
+	}
+
+	/**
+	 * Ends a stream on the engine. Repeating it has no further effect.
+	 * @param stream name of the response
+	 * @param attempt the attempt that ends
+	 * @return completes when the engine has confirmed
+	 */
+	public CompletableFuture<Void> cancel(String stream, int attempt) {
+		HttpCall call = HttpCall.post(this.address, "/v1/streams/" + stream + "/cancel", new CancelRequest(attempt))
+			.within(this.limitMillis);
+		return PlatformFutures.map(this.http.send(call), EngineClient::confirm);
+	}
+
+	/**
+	 * Exports the KV cache of a stream.
+	 * @param stream name of the response
+	 * @return the cache, or {@link ErrorCode#KV_MISSING}
+	 */
+	public CompletableFuture<KvCache> exportKv(String stream) {
+		HttpCall call = HttpCall.get(this.address, kvPath(stream)).within(this.limitMillis);
+		return PlatformFutures.map(this.http.send(call), EngineClient::kvCache);
+	}
+
+	/**
+	 * Imports the KV cache of a stream, in place of what the engine holds for it.
+	 * @param stream name of the response
+	 * @param cache a cache exported by an engine whose range covers this one's
+	 * @return completes when the engine has confirmed
+	 */
+	public CompletableFuture<Void> importKv(String stream, KvCache cache) {
+		List<HttpHeader> headers = List.of(new HttpHeader("Content-Type", "application/octet-stream"),
+				new HttpHeader(KV_POSITIONS, Integer.toString(cache.positions())));
+		HttpCall bare = HttpCall.get(this.address, kvPath(stream));
+		HttpCall call = new HttpCall(this.address, "PUT", bare.path(), headers, cache.data(), this.limitMillis,
+				this.limitMillis, bare.boundary());
+		return PlatformFutures.map(this.http.send(call), EngineClient::confirm);
+	}
+
+	/**
+	 * Reads the engine's load.
+	 * @return the load as last measured
+	 */
+	public CompletableFuture<EngineLoad> load() {
+		return call(HttpCall.get(this.address, "/v1/load"), EngineLoad.class);
+	}
+
+	/**
+	 * Reads prefix cache events.
+	 * @param from number of the first event wanted
+	 * @return the events so far
+	 */
+	public CompletableFuture<CacheEventPage> cacheEvents(long from) {
+		return call(HttpCall.get(this.address, "/v1/cache-events?from=" + from), CacheEventPage.class);
+	}
+
+	/**
+	 * Gives an order.
+	 * @param order the order
+	 * @return the state after the order, or {@link ErrorCode#STALE_FENCE}
+	 */
+	public CompletableFuture<EngineState> order(EngineOrder order) {
+		return call(HttpCall.post(this.address, "/v1/orders", order), EngineState.class);
+	}
+
+	/**
+	 * Reads what the engine has loaded.
+	 * @return the state
+	 */
+	public CompletableFuture<EngineState> state() {
+		return call(HttpCall.get(this.address, "/v1/state"), EngineState.class);
+	}
+
+	private <T> CompletableFuture<T> call(HttpCall call, Class<T> type) {
+		return PlatformFutures.map(this.http.send(call.within(this.limitMillis)), (reply) -> reply.json(type));
+	}
+
+	private static String kvPath(String stream) {
+		return "/v1/streams/" + stream + "/kv";
+	}
+
+	private static Void confirm(HttpReply reply) {
+		reply.requireSuccess();
+		return null;
+	}
+
+	private static KvCache kvCache(HttpReply reply) {
+		reply.requireSuccess();
+		String positions = reply.header(KV_POSITIONS);
+		if (positions == null) {
+			throw new CodedException(ErrorCode.ENDPOINT_FAILED, "the engine sent no " + KV_POSITIONS + " header");
+		}
+		return new KvCache(Integer.parseInt(positions), reply.body());
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/KvCache.java
@@ -0,0 +1,10 @@
+package org.comfreyslip.platform.engine;
+
+/**
+ * Exported KV cache of a stream.
+ *
+ * @param positions number of positions
+ * @param data the cache in the engine's own format
+ */
+public record KvCache(int positions, byte[] data) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/OrderAction.java
@@ -0,0 +1,20 @@
+package org.comfreyslip.platform.engine;
+
+/**
+ * Action of an order.
+ */
+public enum OrderAction {
+
+	/** Load a layer range of a model. */
+	LOAD_MODEL,
+
+	/** Unload the model. */
+	UNLOAD_MODEL,
+
+	/** Load an adapter of the loaded model. */
+	LOAD_ADAPTER,
+
+	/** Change the engine's role. */
+	SET_ROLE
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/StepRequest.java
@@ -0,0 +1,28 @@
+package org.comfreyslip.platform.engine;
+
+import org.comfreyslip.routing.topology.Priority;
+
+/**
+ * One pass of a range of positions through a range of layers. The identity of a step is
+ * stream, attempt, position, count, firstLayer and endLayer.
+ *
+ * @param stream name of the response
+ * @param attempt counted up after each failure
+ * @param model name of the model
+ * @param version version of the model
+ * @param position the first position, from 0
+ * @param count number of positions, at least 1
+ * @param firstLayer the first layer
+ * @param endLayer the layer after the last one
+ * @param tokens token per position, only for a range that starts at layer 0
+ * @param input activations per position, only for a range that starts later
+ * @param kind the kind
+ * @param priority the account's priority
+ * @param remainingMillis time left for the whole response
+ * @param promptCount number of prompt positions, so that an engine that takes over a
+ * stream knows how many tokens were emitted
+ */
+public record StepRequest(String stream, int attempt, String model, String version, int position, int count,
+		int firstLayer, int endLayer, int[] tokens, byte[] input, StepKind kind, Priority priority,
+		long remainingMillis, int promptCount) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/StepToken.java
@@ -0,0 +1,11 @@
+package org.comfreyslip.platform.engine;
+
+/**
+ * A token of a response.
+ *
+ * @param id token id
+ * @param text the token's text
+ * @param end whether the response ends with this token
+ */
+public record StepToken(int id, String text, boolean end) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/TokenizeReply.java
@@ -0,0 +1,9 @@
+package org.comfreyslip.platform.engine;
+
+/**
+ * Tokens of a text.
+ *
+ * @param tokens token ids in order
+ */
+public record TokenizeReply(int[] tokens) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostEntry.java
@@ -0,0 +1,10 @@
+package org.comfreyslip.platform.hosts;
+
+/**
+ * One host.
+ *
+ * @param address ip:port
+ * @param state the state
+ */
+public record HostEntry(String address, HostState state) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostListClient.java
@@ -0,0 +1,42 @@
+package org.comfreyslip.platform.hosts;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.PlatformFutures;
+import org.comfreyslip.platform.PlatformHttp;
+
+/**
+ * Client of the platform's host list.
+ */
+public final class HostListClient {
+
+	private final PlatformHttp http;
+
+	private final String address;
+
+	private final int limitMillis;
+
+	/**
+	 * Creates a client.
+	 * @param http the shared HTTP client
+	 * @param address ip:port of the host list
+	 * @param limitMillis time limit of a call
+	 */
+	public HostListClient(PlatformHttp http, String address, int limitMillis) {
+		this.http = http;
+		this.address = address;
+		this.limitMillis = limitMillis;
+	}
+
+	/**
+	 * Fetches the list.
+	 * @return the list, or a {@link CodedException}
+	 */
+	public CompletableFuture<HostList> hosts() {
+		HttpCall call = HttpCall.get(this.address, "/hosts").within(this.limitMillis);
+		return PlatformFutures.map(this.http.send(call), (reply) -> reply.json(HostList.class));
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostState.java
@@ -0,0 +1,18 @@
+package org.comfreyslip.platform.hosts;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * State of a host in the host list.
+ */
+public enum HostState {
+
+	/** In service. */
+	@JsonProperty("live")
+	LIVE,
+
+	/** About to be taken away. */
+	@JsonProperty("leaving")
+	LEAVING
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/AppendReply.java
@@ -0,0 +1,9 @@
+package org.comfreyslip.platform.log;
+
+/**
+ * Answer to an append.
+ *
+ * @param offset the offset that the record got
+ */
+public record AppendReply(long offset) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/AppendRequest.java
@@ -0,0 +1,9 @@
+package org.comfreyslip.platform.log;
+
+/**
+ * Body of an append.
+ *
+ * @param data the bytes to append
+ */
+public record AppendRequest(byte[] data) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
@@ -0,0 +1,106 @@
+package org.comfreyslip.platform.log;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.platform.PlatformFutures;
+import org.comfreyslip.platform.PlatformHttp;
+
+/**
+ * Client of the platform's append-only log.
+ */
+public final class LogClient {
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final int FIRST_SERVER_ERROR = 500;
+
+	private final PlatformHttp http;
+
+	private final String address;
+
+	private final int limitMillis;
+
+	/**
+	 * Creates a client.
+	 * @param http the shared HTTP client
+	 * @param address ip:port of the log
+	 * @param limitMillis time limit of a call, without the wait of a long-poll read
+	 */
+	public LogClient(PlatformHttp http, String address, int limitMillis) {
+		this.http = http;
+		this.address = address;
+		this.limitMillis = limitMillis;
+	}
+
+	/**
+	 * Appends one record.
+	 * @param stream the stream's name
+	 * @param bytes the record
+	 * @return the record's offset, or a {@link CodedException}:
+	 * {@link ErrorCode#OUTCOME_UNKNOWN} if the record may have been appended,
+	 * {@link ErrorCode#LOG_UNAVAILABLE} if the log refused it or was not reached,
+	 * {@link ErrorCode#BAD_REQUEST} if the log rejects the request for good
+	 */
+	public CompletableFuture<Long> append(String stream, byte[] bytes) {
+		HttpCall call = HttpCall.post(this.address, path(stream), new AppendRequest(bytes)).within(this.limitMillis);
+		return PlatformFutures.map(this.http.send(call), this::offset, LogClient::appendFailure);
+	}
+
+	/**
+	 * Reads records. If there are none from the offset on, the log waits for the first.
+	 * @param stream the stream's name
+	 * @param from the first offset wanted
+	 * @param max the most records to return
+	 * @param waitMillis how long the log waits for a record, 0 for not at all
+	 * @return the page, or a {@link CodedException} with
+	 * {@link ErrorCode#LOG_UNAVAILABLE}
+	 */
+	public CompletableFuture<LogPage> read(String stream, long from, int max, long waitMillis) {
+		String query = "?from=" + from + "&max=" + max + "&waitMs=" + waitMillis;
+		int limit = (int) Math.min(Integer.MAX_VALUE, this.limitMillis + waitMillis);
+		HttpCall call = HttpCall.get(this.address, path(stream) + query).within(limit);
+		return PlatformFutures.map(this.http.send(call), (reply) -> reply.json(LogPage.class), LogClient::unavailable);
+	}
+
+	private static String path(String stream) {
+		return "/streams/" + stream + "/records";
+	}
+
+	private long offset(HttpReply reply) {
+		if (reply.isSuccess()) {
+			return reply.json(AppendReply.class).offset();
+		}
+		String found = "append answered with status " + reply.status();
+		if (reply.status() == TOO_MANY_REQUESTS || reply.status() == UNAVAILABLE) {
+			throw new CodedException(ErrorCode.LOG_UNAVAILABLE, found);
+		}
+		if (reply.status() < FIRST_SERVER_ERROR) {
+			throw new CodedException(ErrorCode.BAD_REQUEST, found);
+		}
+		throw new CodedException(ErrorCode.OUTCOME_UNKNOWN, found);
+	}
+
+	private static CodedException appendFailure(Throwable cause) {
+		if (cause instanceof CallFailedException failed) {
+			ErrorCode code = (failed.mayHaveBeenSent()) ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.LOG_UNAVAILABLE;
+			return new CodedException(code, failed.getMessage(), failed);
+		}
+		if (cause instanceof CodedException coded && coded.getCause() == null) {
+			return coded;
+		}
+		// A success whose body cannot be read was appended at an offset not known here.
+		return new CodedException(ErrorCode.OUTCOME_UNKNOWN, cause.getMessage(), cause);
+	}
+
+	private static CodedException unavailable(Throwable cause) {
+		return new CodedException(ErrorCode.LOG_UNAVAILABLE, cause.getMessage(), cause);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogRecord.java
@@ -0,0 +1,10 @@
+package org.comfreyslip.platform.log;
+
+/**
+ * One record of a log stream.
+ *
+ * @param offset position in the stream, from 0
+ * @param data the bytes appended
+ */
+public record LogRecord(long offset, byte[] data) {
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/service/ServiceCall.java
@@ -0,0 +1,25 @@
+package org.comfreyslip.platform.service;
+
+import java.util.List;
+
+import org.comfreyslip.platform.HttpHeader;
+
+/**
+ * A call to a plain service.
+ *
+ * @param method HTTP method in capitals
+ * @param path path with query, from {@code /}
+ * @param headers headers in order
+ * @param body request body, or {@code null} for none
+ * @param readMillis limit for the first byte of the response and between bytes
+ */
+public record ServiceCall(String method, String path, List<HttpHeader> headers, byte[] body, int readMillis) {
+
+	/**
+	 * Copies the headers.
+	 */
+	public ServiceCall {
+		headers = List.copyOf(headers);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of plain application services.
+ */
+package org.comfreyslip.platform.service;
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/weights/WeightStoreClient.java
@@ -0,0 +1,45 @@
+package org.comfreyslip.platform.weights;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.PlatformFutures;
+import org.comfreyslip.platform.PlatformHttp;
+
+/**
+ * Client of the platform's weight store.
+ */
+public final class WeightStoreClient {
+
+	private final PlatformHttp http;
+
+	private final String address;
+
+	private final int limitMillis;
+
+	/**
+	 * Creates a client.
+	 * @param http the shared HTTP client
+	 * @param address ip:port of the weight store
+	 * @param limitMillis time limit of a call
+	 */
+	public WeightStoreClient(PlatformHttp http, String address, int limitMillis) {
+		this.http = http;
+		this.address = address;
+		this.limitMillis = limitMillis;
+	}
+
+	/**
+	 * Asks for permission to fetch weights.
+	 * @param holder name of the asking process
+	 * @param bytes how much will be fetched
+	 * @return the answer, granted or not, or a {@link CodedException}
+	 */
+	public CompletableFuture<RateLease> lease(String holder, long bytes) {
+		HttpCall call = HttpCall.post(this.address, "/leases-of-rate", new RateLeaseRequest(holder, bytes))
+			.within(this.limitMillis);
+		return PlatformFutures.map(this.http.send(call), (reply) -> reply.json(RateLease.class));
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of the platform's weight store.
+ */
+package org.comfreyslip.platform.weights;
