--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
@@ -17,7 +17,7 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper()
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.setSerializationInclusion(JsonInclude.Include.NON_NULL);
+		.setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL);
 
 	private PlatformJson() {
 	}
--- /dev/null
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a model engine.
+ */
+package org.comfreyslip.standins.engine;
--- /dev/null
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for the platform's log.
+ */
+package org.comfreyslip.standins.log;
--- /dev/null
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for the weight store.
+ */
+package org.comfreyslip.standins.weights;
