--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
@@ -114,6 +114,15 @@
 		return started;
 	}
 
+	/**
+	 * Returns whether permission for the first byte was asked. Until then the call may be
+	 * offered to another endpoint, for example after a refused connection.
+	 * @return {@code true} after {@link #tryStart(long)}
+	 */
+	public boolean isStartAsked() {
+		return this.startAsked.get();
+	}
+
 	private List<ClaimAction> onStarted(ClaimView view, long nowNanos, long nowEpochMillis) {
 		require(this.state == State.NEW, "protected call started twice");
 		KeyVerdict verdict = this.policy.judge(this.request.key(), nowEpochMillis);
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -0,0 +1,110 @@
+package org.comfreyslip.daemon;
+
+import java.util.logging.Level;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * Numbered log events. The catalogue in {@code docs/events.md} lists each with its
+ * meaning and what to do.
+ */
+public enum DaemonEvent {
+
+	/** The daemon accepts requests. */
+	STARTED(1001, Level.INFO, "daemon %s listens for callers at %s, for operators at %s"),
+
+	/** The shutdown began. */
+	DRAIN_STARTED(1002, Level.INFO, "shutdown began with %s open requests"),
+
+	/** The shutdown ended. */
+	DRAIN_ENDED(1003, Level.INFO, "shutdown ended, %s requests cut off"),
+
+	/** A configuration came into force. */
+	CONFIG_IN_FORCE(2001, Level.INFO, "configuration %s by %s is in force"),
+
+	/** A proposal was refused. */
+	CONFIG_REFUSED(2002, Level.INFO, "proposal %s was refused, version %s won"),
+
+	/** An accepted text cannot be applied by this software version. */
+	CONFIG_NOT_APPLICABLE(2003, Level.SEVERE, "configuration %s cannot be applied: %s"),
+
+	/** The configuration stream cannot be read. */
+	CONFIG_LOG_UNAVAILABLE(2004, Level.WARNING, "the configuration stream cannot be read: %s"),
+
+	/** The configuration was taken from peers. */
+	CONFIG_FROM_PEERS(2005, Level.WARNING, "configuration %s was taken from peers because the log is down"),
+
+	/** A stage was lost in the middle of an answer. */
+	STAGE_LOST(3001, Level.WARNING, "request %s lost engine %s: %s"),
+
+	/** An answer goes on after the loss of a stage. */
+	STAGE_RECOVERED(3002, Level.INFO, "request %s recovered in %s ms, cache %s"),
+
+	/** An answer failed. */
+	ANSWER_FAILED(3003, Level.WARNING, "request %s failed: %s"),
+
+	/** An engine or endpoint is leaving. */
+	ENDPOINT_LEAVING(3004, Level.INFO, "endpoint %s is leaving"),
+
+	/** A claim stream cannot be read or written. */
+	CLAIM_LOG_UNAVAILABLE(4001, Level.WARNING, "claim stream %s is unavailable: %s"),
+
+	/** The outcome of a protected call is not known. */
+	OUTCOME_UNKNOWN(4002, Level.WARNING, "request %s with key %s has an unknown outcome"),
+
+	/** A foreign record was skipped. */
+	FOREIGN_RECORD(4003, Level.WARNING, "offset %s of stream %s holds no record of this program"),
+
+	/** An invariant does not hold. */
+	INVARIANT_VIOLATED(9001, Level.SEVERE, "request %s: %s"),
+
+	/** An unexpected error. */
+	UNEXPECTED(9002, Level.SEVERE, "request %s failed unexpectedly: %s");
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private final int number;
+
+	private final Level level;
+
+	private final String format;
+
+	DaemonEvent(int number, Level level, String format) {
+		this.number = number;
+		this.level = level;
+		this.format = format;
+	}
+
+	/**
+	 * Returns the event's id.
+	 * @return the id in the form {@code CS-1001}
+	 */
+	public String id() {
+		return "CS-" + this.number;
+	}
+
+	/**
+	 * Returns the event's level.
+	 * @return the level
+	 */
+	public Level level() {
+		return this.level;
+	}
+
+	/**
+	 * Returns the message format.
+	 * @return the format
+	 */
+	public String format() {
+		return this.format;
+	}
+
+	/**
+	 * Logs the event.
+	 * @param arguments the arguments of the format
+	 */
+	public void log(Object... arguments) {
+		LOGGER.at(this.level).log("%s", id() + " " + String.format(this.format, arguments));
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' HTTP interface.
+ */
+package org.comfreyslip.daemon.admin;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerMetrics.java
@@ -0,0 +1,57 @@
+package org.comfreyslip.daemon.answer;
+
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/**
+ * Metrics of the answers.
+ */
+public final class AnswerMetrics {
+
+	private final Counter stagesLost;
+
+	private final Counter acceptedPasses;
+
+	private final Counter rebuildPasses;
+
+	private final Counter droppedAnswers;
+
+	private final Counter violations;
+
+	private final Timer recovery;
+
+	/**
+	 * Registers the metrics.
+	 * @param registry the registry
+	 */
+	public AnswerMetrics(MeterRegistry registry) {
+		this.stagesLost = registry.counter("comfreyslip.stages.lost");
+		this.acceptedPasses = registry.counter("comfreyslip.passes.accepted");
+		this.rebuildPasses = registry.counter("comfreyslip.passes.rebuild");
+		this.droppedAnswers = registry.counter("comfreyslip.answers.dropped");
+		this.violations = registry.counter("comfreyslip.violations", "promise", "layers");
+		this.recovery = Timer.builder("comfreyslip.recovery").publishPercentiles(0.5, 0.95, 0.99).register(registry);
+	}
+
+	void stageLost() {
+		this.stagesLost.increment();
+	}
+
+	void recovered(long nanos) {
+		this.recovery.record(nanos, TimeUnit.NANOSECONDS);
+	}
+
+	void passes(long accepted, long rebuild, long dropped) {
+		this.acceptedPasses.increment(accepted);
+		this.rebuildPasses.increment(rebuild);
+		this.droppedAnswers.increment(dropped);
+	}
+
+	void invariantViolated() {
+		this.violations.increment();
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/EngineCalls.java
@@ -0,0 +1,110 @@
+package org.comfreyslip.daemon.answer;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.daemon.route.EngineClients;
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.engine.EngineClient;
+import org.comfreyslip.platform.engine.StepKind;
+import org.comfreyslip.platform.engine.StepReply;
+import org.comfreyslip.platform.engine.StepRequest;
+import org.comfreyslip.platform.engine.StepToken;
+import org.comfreyslip.platform.engine.TokenizeRequest;
+import org.comfreyslip.routing.pipeline.GeneratedToken;
+import org.comfreyslip.routing.pipeline.PipelineAction.CancelStream;
+import org.comfreyslip.routing.pipeline.PipelineAction.SendStep;
+import org.comfreyslip.routing.pipeline.PipelineAction.TransferCache;
+import org.comfreyslip.routing.pipeline.StepAnswer;
+import org.comfreyslip.routing.pipeline.StepFailure;
+import org.comfreyslip.routing.pipeline.StepId;
+
+/**
+ * Carries out the engine calls of answers.
+ */
+final class EngineCalls {
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	private final EngineClients clients;
+
+	EngineCalls(EngineClients clients) {
+		this.clients = clients;
+	}
+
+	CompletableFuture<int[]> tokenize(String engine, String model, String text) {
+		return client(engine).tokenize(new TokenizeRequest(model, text)).thenApply((reply) -> reply.tokens());
+	}
+
+	CompletableFuture<StepReply> step(AnswerRequest request, SendStep step, int promptCount, long limitNanos,
+			long now) {
+		StepId id = step.id();
+		int[] tokens = step.tokens().stream().mapToInt(Integer::intValue).toArray();
+		long remaining = (request.deadline() - now) / NANOS_PER_MILLI;
+		boolean first = id.layers().first() == 0;
+		StepRequest message = new StepRequest(id.request(), id.attempt(), request.model().name(),
+				request.model().version(), id.position(), id.count(), id.layers().first(), id.layers().end(),
+				first ? tokens : null, first ? null : step.input(), StepKind.valueOf(id.kind().name()),
+				request.account().priority(), remaining, promptCount);
+		return client(step.engine()).step(message, (int) (limitNanos / NANOS_PER_MILLI));
+	}
+
+	void cancel(CancelStream cancel) {
+		this.clients.client(cancel.engine()).ifPresent((client) -> client.cancel(cancel.request(), cancel.attempt()));
+	}
+
+	/**
+	 * Copies a KV cache. Fails unless the exporter holds exactly the positions asked for,
+	 * because a cache that already holds the lost step would run that step twice.
+	 * @param transfer the transfer
+	 * @return completes when the importer has confirmed
+	 */
+	CompletableFuture<Void> transfer(TransferCache transfer) {
+		EngineClient to = client(transfer.to());
+		return client(transfer.from()).exportKv(transfer.request()).thenCompose((cache) -> {
+			if (cache.positions() != transfer.positions()) {
+				throw new CodedException(ErrorCode.KV_MISSING, transfer.from() + " holds " + cache.positions()
+						+ " positions instead of " + transfer.positions());
+			}
+			return to.importKv(transfer.request(), cache);
+		});
+	}
+
+	void onSilent(String engine) {
+		this.clients.evictIdle(engine);
+	}
+
+	static boolean matches(StepId id, StepReply reply) {
+		return reply.stream().equals(id.request()) && reply.attempt() == id.attempt()
+				&& reply.position() == id.position() && reply.count() == id.count()
+				&& reply.firstLayer() == id.layers().first() && reply.endLayer() == id.layers().end();
+	}
+
+	static StepAnswer answer(StepReply reply) {
+		byte[] output = (reply.output() != null) ? reply.output() : new byte[0];
+		return new StepAnswer(output, Optional.ofNullable(reply.token()).map(EngineCalls::token));
+	}
+
+	static StepFailure failure(Throwable ex) {
+		if (ex instanceof CallFailedException failed) {
+			return failed.mayHaveBeenSent() ? StepFailure.TIMED_OUT : StepFailure.UNREACHABLE;
+		}
+		if (ex instanceof CodedException coded && coded.code() == ErrorCode.KV_MISSING) {
+			return StepFailure.KV_LOST;
+		}
+		return StepFailure.REFUSED;
+	}
+
+	private static GeneratedToken token(StepToken token) {
+		return new GeneratedToken(token.id(), token.text(), token.end());
+	}
+
+	private EngineClient client(String engine) {
+		return this.clients.client(engine)
+			.orElseThrow(() -> new CodedException(ErrorCode.NO_ENDPOINT,
+					"engine " + engine + " is no longer part of the configuration"));
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Drives the state machine of one answer against the engines.
+ */
+package org.comfreyslip.daemon.answer;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ServiceCalls.java
@@ -0,0 +1,129 @@
+package org.comfreyslip.daemon.claim;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.claim.ClaimKey;
+import org.comfreyslip.coordination.claim.RecordedResponse;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.HttpStream;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.service.ServiceCall;
+import org.comfreyslip.platform.service.ServiceClient;
+import org.comfreyslip.routing.topology.EndpointSpec;
+import org.comfreyslip.routing.topology.ServiceSpec;
+
+/**
+ * Calls of plain services whose response is collected and recorded.
+ */
+final class ServiceCalls {
+
+	/** Header with the time after which a service must not execute the call any more. */
+	static final String SEND_BY_HEADER = "Send-By-Epoch-Millis";
+
+	private static final String KEY_HEADER = "Idempotency-Key";
+
+	private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int FIRST_ERROR = 400;
+
+	private final PlatformHttp http;
+
+	ServiceCalls(PlatformHttp http) {
+		this.http = http;
+	}
+
+	CompletableFuture<RecordedResponse> send(EndpointSpec endpoint, ClaimKey key, ServiceCall call,
+			long sendByEpochMillis, BooleanSupplier boundary) {
+		List<HttpHeader> headers = new ArrayList<>(call.headers());
+		headers.add(new HttpHeader(KEY_HEADER, scopedKey(key)));
+		headers.add(new HttpHeader(SEND_BY_HEADER, Long.toString(sendByEpochMillis)));
+		ServiceCall stamped = new ServiceCall(call.method(), call.path(), headers, call.body(), call.readMillis());
+		return new ServiceClient(this.http, endpoint.address()).send(stamped, boundary)
+			.thenApply(ServiceCalls::collect);
+	}
+
+	CompletableFuture<Optional<RecordedResponse>> lookUp(EndpointSpec endpoint, ServiceSpec service, ClaimKey key) {
+		String path = service.lookup()
+			.orElseThrow()
+			.replace("{key}", URLEncoder.encode(scopedKey(key), StandardCharsets.UTF_8));
+		ServiceCall call = new ServiceCall("GET", path, List.of(), null, (int) service.timeoutMillis());
+		return new ServiceClient(this.http, endpoint.address()).send(call, () -> true).thenApply((stream) -> {
+			RecordedResponse response = collect(stream);
+			if (response.status() == NOT_FOUND) {
+				return Optional.empty();
+			}
+			if (response.status() >= FIRST_ERROR) {
+				throw new CodedException(ErrorCode.ENDPOINT_FAILED, "look-up answered with " + response.status());
+			}
+			return Optional.of(response);
+		});
+	}
+
+	/**
+	 * Returns the key as services see it. It names the client account, so that no account
+	 * can look up the result of another one by using its key.
+	 * @param key the key
+	 * @return the key for the service's records
+	 */
+	static String scopedKey(ClaimKey key) {
+		return key.account() + "." + key.key();
+	}
+
+	private static RecordedResponse collect(HttpStream stream) {
+		try (stream) {
+			byte[] body = readBounded(stream.body());
+			String type = stream.headers()
+				.stream()
+				.filter((header) -> header.name().equalsIgnoreCase("Content-Type"))
+				.map(HttpHeader::value)
+				.findFirst()
+				.orElse("");
+			boolean recorded = body.length <= RecordedResponse.MAX_BODY_BYTES;
+			String base64 = recorded ? Base64.getEncoder().encodeToString(body) : "";
+			return new RecordedResponse(stream.status(), type, digest(body), base64, recorded);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static byte[] readBounded(InputStream body) throws IOException {
+		byte[] bytes = body.readNBytes(MAX_RESPONSE_BYTES + 1);
+		if (bytes.length > MAX_RESPONSE_BYTES) {
+			throw new IOException("the response of a protected call exceeds " + MAX_RESPONSE_BYTES + " bytes");
+		}
+		return bytes;
+	}
+
+	static String digest(byte[]... parts) {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			for (byte[] part : parts) {
+				digest.update(part);
+				digest.update((byte) 0);
+			}
+			return HexFormat.of().formatHex(digest.digest());
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("every Java platform has SHA-256", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Claim streams and protected calls.
+ */
+package org.comfreyslip.daemon.claim;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ErrorReply.java
@@ -0,0 +1,31 @@
+package org.comfreyslip.daemon.http;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import org.comfreyslip.coordination.CodedException;
+
+/**
+ * Body of a typed error.
+ *
+ * @param error the error
+ */
+record ErrorReply(Detail error) {
+
+	static ErrorReply of(CodedException ex, String requestId) {
+		return new ErrorReply(
+				new Detail(ex.code().name(), ex.getMessage(), ex.code().remedy(), requestId, ex.isNotRun()));
+	}
+
+	/**
+	 * The error.
+	 *
+	 * @param code the stable code
+	 * @param message what was found
+	 * @param remedy what the caller can do
+	 * @param requestId the request's id, or {@code null} if it got none
+	 * @param notRun whether the request is known not to have run
+	 */
+	record Detail(String code, String message, String remedy, @JsonProperty("request_id") String requestId,
+			@JsonProperty("not_run") boolean notRun) {
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/OpenRequest.java
@@ -0,0 +1,36 @@
+package org.comfreyslip.daemon.http;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.comfreyslip.coordination.CallBoundary;
+import org.comfreyslip.daemon.config.ConfigInForce;
+import org.comfreyslip.daemon.journal.RequestEntry;
+import org.comfreyslip.routing.topology.AccountSpec;
+
+/**
+ * An admitted request.
+ *
+ * @param id the request's id
+ * @param account the client account
+ * @param config the configuration in force when the request came
+ * @param deadline the time at which the caller no longer waits, in monotonic ns
+ * @param boundary the boundary between "not run" and "may have run"
+ * @param entry the request's record
+ * @param closed whether the request has ended
+ * @param onClose gives the request's permits back
+ */
+record OpenRequest(String id, AccountSpec account, ConfigInForce config, long deadline, CallBoundary boundary,
+		RequestEntry entry, AtomicBoolean closed, Runnable onClose) {
+
+	/**
+	 * Ends the request. Repeating it has no further effect.
+	 * @param outcome the outcome for the request's record
+	 */
+	void close(String outcome) {
+		if (this.closed.compareAndSet(false, true)) {
+			this.entry.end(outcome, System.currentTimeMillis());
+			this.onClose.run();
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -0,0 +1,219 @@
+package org.comfreyslip.daemon.http;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.jooby.Context;
+import org.comfreyslip.coordination.CallBoundary;
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.claim.ClaimKey;
+import org.comfreyslip.coordination.claim.ClaimResult;
+import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
+import org.comfreyslip.coordination.claim.RecordedResponse;
+import org.comfreyslip.daemon.claim.OutcomeView;
+import org.comfreyslip.daemon.claim.ProtectedCallService;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.service.ServiceCall;
+import org.comfreyslip.routing.topology.ServiceSpec;
+import org.comfreyslip.settings.DependencyNode;
+
+/**
+ * The interface to plain services, with idempotency keys and look-up of outcomes.
+ */
+final class ServiceRoutes {
+
+	private static final String KEY_HEADER = "Idempotency-Key";
+
+	/** Headers of one connection, and those that the daemon sets itself. */
+	private static final Set<String> NOT_FORWARDED = Set.of("host", "connection", "keep-alive", "transfer-encoding",
+			"content-length", "upgrade", "te", "trailer", "proxy-authorization", "proxy-connection", "authorization",
+			"expect", "accept-encoding", "idempotency-key", "request-timeout-ms", "send-by-epoch-millis");
+
+	private static final int OK = 200;
+
+	private final RequestGate gate;
+
+	private final ProtectedCallService protectedCalls;
+
+	private final RepeatableCalls repeatableCalls;
+
+	private final RandomGenerator random;
+
+	ServiceRoutes(RequestGate gate, ProtectedCallService protectedCalls, RepeatableCalls repeatableCalls,
+			RandomGenerator random) {
+		this.gate = gate;
+		this.protectedCalls = protectedCalls;
+		this.repeatableCalls = repeatableCalls;
+		this.random = random;
+	}
+
+	Context call(Context context) {
+		CallBoundary boundary = new CallBoundary();
+		try {
+			RequestGate.Caller caller = this.gate.authenticate(context, boundary);
+			ServiceSpec service = service(context, caller, boundary);
+			ServiceCall call = serviceCall(context, service);
+			boolean guarded = service.isProtected(call.method(), pathOnly(call.path()));
+			ClaimKey key = guarded ? key(context, caller, service, boundary) : null;
+			OpenRequest request = this.gate.admit(context, caller, DependencyNode.service(service.name()),
+					call.method() + " " + service.name() + pathOnly(call.path()), boundary);
+			if (guarded) {
+				startProtected(context, request, key, service, call);
+			}
+			else {
+				this.repeatableCalls.start(context, request, service, call);
+			}
+		}
+		catch (CodedException ex) {
+			Replies.error(context, ex, null);
+		}
+		return context;
+	}
+
+	Context newKey(Context context) {
+		try {
+			this.gate.authenticate(context, new CallBoundary());
+			String key = IdempotencyKeyPolicy.newKey(System.currentTimeMillis(), this.random);
+			Replies.json(context, OK, Map.of("idempotency_key", key));
+		}
+		catch (CodedException ex) {
+			Replies.error(context, ex, null);
+		}
+		return context;
+	}
+
+	Context outcome(Context context) {
+		CallBoundary boundary = new CallBoundary();
+		try {
+			RequestGate.Caller caller = this.gate.authenticate(context, boundary);
+			ServiceSpec service = service(context, caller, boundary);
+			ClaimKey key = new ClaimKey(caller.account().name(), service.name(), context.path("key").value());
+			this.protectedCalls.outcome(key, service).whenComplete((view, ex) -> {
+				if (ex != null) {
+					Replies.error(context, ex, null);
+				}
+				else {
+					Replies.json(context, OK, OutcomeReply.of(key, view));
+				}
+			});
+		}
+		catch (CodedException ex) {
+			Replies.error(context, ex, null);
+		}
+		return context;
+	}
+
+	private void startProtected(Context context, OpenRequest request, ClaimKey key, ServiceSpec service,
+			ServiceCall call) {
+		this.protectedCalls.start(key, service, call, request.deadline(), request.entry())
+			.whenComplete((result, ex) -> {
+				if (ex != null) {
+					request.close("failed: " + ex.getMessage());
+					Replies.error(context, ex, request.id());
+				}
+				else {
+					answer(context, request, result);
+				}
+			});
+	}
+
+	private static void answer(Context context, OpenRequest request, ClaimResult result) {
+		if (result instanceof ClaimResult.Done done) {
+			request.close("done with status " + done.response().status());
+			recorded(context, done.response(), done.earlier());
+		}
+		else if (result instanceof ClaimResult.NotRun notRun) {
+			request.close("not run: " + notRun.error().code());
+			Replies.error(context, notRun.error(), request.id());
+		}
+		else if (result instanceof ClaimResult.Unknown unknown) {
+			request.close("outcome unknown");
+			context.setResponseHeader("Location", unknown.lookupPath());
+			Replies.error(context, unknown.error(), request.id());
+		}
+	}
+
+	private static void recorded(Context context, RecordedResponse response, boolean earlier) {
+		if (earlier) {
+			context.setResponseHeader("Idempotency-Replayed", "true");
+		}
+		context.setResponseCode(response.status());
+		if (!response.contentType().isEmpty()) {
+			context.setResponseHeader("Content-Type", response.contentType());
+		}
+		if (!response.bodyRecorded()) {
+			context.setResponseHeader("Body-Digest-Sha-256", response.digest());
+		}
+		context.send(Base64.getDecoder().decode(response.bodyBase64()));
+	}
+
+	private static ServiceSpec service(Context context, RequestGate.Caller caller, CallBoundary boundary) {
+		String name = context.path("service").value();
+		return caller.config()
+			.topology()
+			.findService(name)
+			.orElseThrow(
+					() -> boundary.notRun(ErrorCode.UNKNOWN_SERVICE, "service '" + name + "' is not configured", -1));
+	}
+
+	private static ClaimKey key(Context context, RequestGate.Caller caller, ServiceSpec service,
+			CallBoundary boundary) {
+		String text = context.header(KEY_HEADER).valueOrNull();
+		if (text == null) {
+			throw boundary.notRun(ErrorCode.KEY_REQUIRED, "the call may not be repeated and carries no " + KEY_HEADER,
+					-1);
+		}
+		try {
+			return new ClaimKey(caller.account().name(), service.name(), text);
+		}
+		catch (CodedException ex) {
+			throw boundary.notRun(ex.code(), ex.getMessage(), -1);
+		}
+	}
+
+	private static ServiceCall serviceCall(Context context, ServiceSpec service) {
+		String prefix = "/services/" + service.name();
+		String path = context.getRequestPath().substring(prefix.length());
+		String query = context.queryString();
+		List<HttpHeader> headers = new ArrayList<>();
+		context.headerMap().forEach((name, value) -> {
+			if (!NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT))) {
+				headers.add(new HttpHeader(name, value));
+			}
+		});
+		byte[] body = context.body().bytes();
+		return new ServiceCall(context.getMethod().toUpperCase(Locale.ROOT),
+				(path.isEmpty() ? "/" : path) + ((query != null) ? query : ""), headers,
+				(body.length == 0) ? null : body, (int) service.timeoutMillis());
+	}
+
+	private static String pathOnly(String path) {
+		int query = path.indexOf('?');
+		return (query < 0) ? path : path.substring(0, query);
+	}
+
+	/**
+	 * What is known about the outcome of a key.
+	 *
+	 * @param key the idempotency key
+	 * @param state the state in lower case
+	 * @param status the status of the recorded response, or {@code null}
+	 * @param body the recorded body in base64, or {@code null}
+	 */
+	private record OutcomeReply(String key, String state, Integer status, String body) {
+
+		static OutcomeReply of(ClaimKey key, OutcomeView view) {
+			return new OutcomeReply(key.key(), view.state().name().toLowerCase(Locale.ROOT),
+					view.response().map(RecordedResponse::status).orElse(null),
+					view.response().map(RecordedResponse::bodyBase64).orElse(null));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The callers' HTTP interface.
+ */
+package org.comfreyslip.daemon.http;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/journal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Bounded record of the daemon's recent requests.
+ */
+package org.comfreyslip.daemon.journal;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The router daemon: wiring, start and shutdown, log events.
+ */
+package org.comfreyslip.daemon;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/EngineClients.java
@@ -0,0 +1,56 @@
+package org.comfreyslip.daemon.route;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.engine.EngineClient;
+import org.comfreyslip.routing.topology.EngineSpec;
+
+/**
+ * One client for each engine address.
+ */
+public final class EngineClients {
+
+	private static final int LIMIT_MILLIS = 2_000;
+
+	private final PlatformHttp http;
+
+	private final RoutingTables tables;
+
+	private final Map<String, EngineClient> byAddress = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates the clients' registry.
+	 * @param http the shared HTTP client
+	 * @param tables where engines are found by name
+	 */
+	public EngineClients(PlatformHttp http, RoutingTables tables) {
+		this.http = http;
+		this.tables = tables;
+	}
+
+	/**
+	 * Returns the client of an engine.
+	 * @param engine the engine's name
+	 * @return the client, or empty if the configuration in force has no such engine
+	 */
+	public Optional<EngineClient> client(String engine) {
+		return this.tables.findEngine(engine).map(this::client);
+	}
+
+	private EngineClient client(EngineSpec engine) {
+		return this.byAddress.computeIfAbsent(engine.address(),
+				(address) -> new EngineClient(this.http, address, LIMIT_MILLIS));
+	}
+
+	/**
+	 * Closes idle connections to an engine, because they may have gone silent.
+	 * @param engine the engine's name
+	 */
+	public void evictIdle(String engine) {
+		this.tables.findEngine(engine).ifPresent((spec) -> this.http.evictIdle(spec.address()));
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/LoadProber.java
@@ -0,0 +1,127 @@
+package org.comfreyslip.daemon.route;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.engine.EngineLoad;
+import org.comfreyslip.platform.hosts.HostEntry;
+import org.comfreyslip.platform.hosts.HostListClient;
+import org.comfreyslip.platform.hosts.HostState;
+import org.comfreyslip.routing.endpoint.EndpointCall;
+import org.comfreyslip.routing.endpoint.EndpointFailure;
+
+/**
+ * Reads the engines' load and the host list once a second, and probes endpoints that were
+ * ejected.
+ */
+public final class LoadProber {
+
+	private static final long PERIOD_MILLIS = 1_000;
+
+	private static final int PROBE_LIMIT_MILLIS = 900;
+
+	private final RoutingTables tables;
+
+	private final EngineClients engines;
+
+	private final PlatformHttp http;
+
+	private final HostListClient hosts;
+
+	private final ScheduledExecutorService timer;
+
+	private final LongSupplier clock;
+
+	/**
+	 * Creates a prober.
+	 * @param tables the tables to feed
+	 * @param engines the engine clients
+	 * @param http the HTTP client for probes of plain endpoints
+	 * @param hosts the host list
+	 * @param timer runs the period
+	 * @param clock the monotonic clock, in ns
+	 */
+	public LoadProber(RoutingTables tables, EngineClients engines, PlatformHttp http, HostListClient hosts,
+			ScheduledExecutorService timer, LongSupplier clock) {
+		this.tables = tables;
+		this.engines = engines;
+		this.http = http;
+		this.hosts = hosts;
+		this.timer = timer;
+		this.clock = clock;
+	}
+
+	/**
+	 * Starts the period.
+	 */
+	public void start() {
+		this.timer.scheduleWithFixedDelay(this::probeAll, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void probeAll() {
+		this.tables.engines().forEach((engine) -> probeEngine(engine.name()));
+		this.tables.plainEndpoints().forEach((endpoint) -> probeEndpoint(endpoint.name(), endpoint.address()));
+		this.hosts.hosts().thenAccept((list) -> this.tables.onHostList(leaving(list.hosts()), now()));
+	}
+
+	private void probeEngine(String name) {
+		Optional<EndpointCall> probe = this.tables.startProbe(name, now());
+		this.engines.client(name).ifPresent((client) -> client.load().whenComplete((load, ex) -> {
+			if (ex == null) {
+				onLoad(name, probe, load);
+			}
+			else {
+				onFailure(name, probe, ex);
+			}
+		}));
+	}
+
+	private void onLoad(String name, Optional<EndpointCall> probe, EngineLoad load) {
+		probe.ifPresent((call) -> this.tables.succeed(call, now(), call.entry().health().timing().meanNanos(0)));
+		this.tables.onLoad(name, load, now());
+	}
+
+	private void onFailure(String name, Optional<EndpointCall> probe, Throwable ex) {
+		EndpointFailure failure = (ex instanceof CallFailedException failed && failed.mayHaveBeenSent())
+				? EndpointFailure.TIMEOUT : EndpointFailure.REFUSED;
+		if (probe.isPresent()) {
+			this.tables.fail(probe.get(), failure, now());
+		}
+		else {
+			this.tables.onProbeFailure(name, failure, now());
+		}
+	}
+
+	private void probeEndpoint(String name, String address) {
+		this.tables.startProbe(name, now()).ifPresent((call) -> {
+			HttpCall get = HttpCall.get(address, "/health").within(PROBE_LIMIT_MILLIS);
+			this.http.send(get).whenComplete((reply, ex) -> {
+				if (ex == null) {
+					this.tables.succeed(call, now(), call.entry().health().timing().meanNanos(0));
+				}
+				else {
+					this.tables.fail(call, EndpointFailure.TIMEOUT, now());
+				}
+			});
+		});
+	}
+
+	private static Set<String> leaving(java.util.List<HostEntry> hosts) {
+		return hosts.stream()
+			.filter((host) -> host.state() == HostState.LEAVING)
+			.map(HostEntry::address)
+			.collect(Collectors.toSet());
+	}
+
+	private long now() {
+		return this.clock.getAsLong();
+	}
+
+}
