--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/IdleConnections.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/IdleConnections.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import okhttp3.Call;
 import okhttp3.Connection;
@@ -16,8 +17,13 @@
  */
 final class IdleConnections extends EventListener {
 
+	/** Releases after which sockets that the pool closed are dropped from the table. */
+	private static final int PURGE_INTERVAL = 1_024;
+
 	private final Map<Socket, String> idle = new ConcurrentHashMap<>();
 
+	private final AtomicInteger releases = new AtomicInteger();
+
 	@Override
 	public void connectionAcquired(Call call, Connection connection) {
 		this.idle.remove(connection.socket());
@@ -27,7 +33,9 @@
 	public void connectionReleased(Call call, Connection connection) {
 		Socket socket = connection.socket();
 		this.idle.put(socket, address(connection));
-		this.idle.keySet().removeIf(Socket::isClosed);
+		if (this.releases.incrementAndGet() % PURGE_INTERVAL == 0) {
+			this.idle.keySet().removeIf(Socket::isClosed);
+		}
 	}
 
 	int evict(String address) {
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
@@ -75,7 +75,7 @@
 
 	private long offset(HttpReply reply) {
 		if (reply.isSuccess()) {
-			return reply.json(AppendReply.class).offset();
+			return offsetOf(reply);
 		}
 		String found = "append answered with status " + reply.status();
 		if (reply.status() == TOO_MANY_REQUESTS || reply.status() == UNAVAILABLE) {
@@ -87,15 +87,23 @@
 		throw new CodedException(ErrorCode.OUTCOME_UNKNOWN, found);
 	}
 
+	private static long offsetOf(HttpReply reply) {
+		try {
+			return reply.json(AppendReply.class).offset();
+		}
+		catch (CodedException ex) {
+			throw new CodedException(ErrorCode.OUTCOME_UNKNOWN, "appended, but the offset cannot be read", ex);
+		}
+	}
+
 	private static CodedException appendFailure(Throwable cause) {
 		if (cause instanceof CallFailedException failed) {
 			ErrorCode code = (failed.mayHaveBeenSent()) ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.LOG_UNAVAILABLE;
 			return new CodedException(code, failed.getMessage(), failed);
 		}
-		if (cause instanceof CodedException coded && coded.getCause() == null) {
+		if (cause instanceof CodedException coded) {
 			return coded;
 		}
-		// A success whose body cannot be read was appended at an offset not known here.
 		return new CodedException(ErrorCode.OUTCOME_UNKNOWN, cause.getMessage(), cause);
 	}
 
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.PriorityBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.comfreyslip.coordination.CodedException;
@@ -14,6 +15,7 @@
 import org.comfreyslip.platform.engine.EngineOrder;
 import org.comfreyslip.platform.engine.EngineState;
 import org.comfreyslip.platform.engine.KvCache;
+import org.comfreyslip.platform.engine.StepKind;
 import org.comfreyslip.platform.engine.StepReply;
 import org.comfreyslip.platform.engine.StepRequest;
 import org.comfreyslip.routing.topology.LayerRange;
@@ -45,8 +47,6 @@
 
 	private int running;
 
-	private int positionsHeld;
-
 	EngineCore(EngineSettings settings, BooleanSupplier leaving) {
 		this.settings = settings;
 		this.leaving = leaving;
@@ -111,9 +111,10 @@
 
 	synchronized void cancel(String name, int attempt) {
 		EngineStream stream = this.streams.get(name);
-		int before = stream.kv().size();
-		stream.close(attempt);
-		this.positionsHeld += stream.kv().size() - before;
+		this.streams.change(stream, () -> {
+			stream.close(attempt);
+			return stream;
+		});
 	}
 
 	synchronized KvCache exportKv(String name) {
@@ -126,11 +127,13 @@
 	}
 
 	synchronized void importKv(String name, KvCache imported) {
-		KvState kv = this.streams.get(name).kv();
-		requireMemory(imported.positions() - kv.size());
-		this.positionsHeld -= kv.size();
-		kv.read(imported.data(), this.loaded.range());
-		this.positionsHeld += kv.size();
+		EngineStream stream = this.streams.get(name);
+		stream.touch(System.nanoTime());
+		requireMemory(imported.positions() - stream.kv().size());
+		this.streams.change(stream, () -> {
+			stream.kv().read(imported.data(), this.loaded.range());
+			return stream;
+		});
 	}
 
 	synchronized EngineLoad load(long nowNanos) {
@@ -148,7 +151,10 @@
 	// Carries an order out. The number is checked again, because a load takes time.
 	synchronized EngineState carryOut(EngineOrder order) {
 		this.loaded.fence(order);
-		this.loaded.apply(order);
+		if (this.loaded.apply(order)) {
+			this.streams.releaseAll();
+			this.cache.clear();
+		}
 		return this.loaded.state();
 	}
 
@@ -169,11 +175,12 @@
 		stream.enter(step.attempt());
 		this.loaded.requireServes(step);
 		this.runner.checkPosition(step, range, stream.kv());
-		requireMemory(step.position() + step.count() - stream.kv().size());
+		stream.touch(nowNanos);
+		if (step.kind() != StepKind.REBUILD_DISCARD) {
+			requireMemory(step.position() + step.count() - stream.kv().size());
+		}
 		int cached = cachedPositions(step);
-		int before = stream.kv().size();
-		long[] values = this.runner.run(step, range, stream.kv());
-		this.positionsHeld += stream.kv().size() - before;
+		long[] values = this.streams.change(stream, () -> this.runner.run(step, range, stream.kv()));
 		if (this.settings.recordsPasses()) {
 			stream.countPass(step);
 		}
@@ -191,9 +198,13 @@
 	}
 
 	private void requireMemory(int more) {
-		if (more > 0 && this.positionsHeld + more > this.settings.kvPositions()) {
-			throw new CodedException(ErrorCode.OVERLOADED, "the KV memory is full: " + this.positionsHeld + " of "
-					+ this.settings.kvPositions() + " positions are taken");
+		if (more > kvFree()) {
+			this.streams.releaseIdle(System.nanoTime(),
+					TimeUnit.MILLISECONDS.toNanos(this.settings.streamIdleMillis()));
+		}
+		if (more > Math.max(0, kvFree())) {
+			throw new CodedException(ErrorCode.OVERLOADED, "the KV memory is full: " + this.streams.positionsHeld()
+					+ " of " + this.settings.kvPositions() + " positions are taken");
 		}
 	}
 
@@ -214,8 +225,11 @@
 	}
 
 	private EngineLoad measure() {
-		int free = Math.max(0, this.settings.kvPositions() - this.positionsHeld);
-		return new EngineLoad(this.queue.size(), this.running, free, this.leaving.getAsBoolean());
+		return new EngineLoad(this.queue.size(), this.running, kvFree(), this.leaving.getAsBoolean());
+	}
+
+	private int kvFree() {
+		return this.settings.kvPositions() - this.streams.positionsHeld();
 	}
 
 }
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineSettings.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineSettings.java
@@ -22,14 +22,16 @@
  * @param cacheEventLagMillis time until a cache event is offered
  * @param cacheEventGap each how-manyth cache event is lost, or 0 for none
  * @param loadModelMillis time of loading a model or adapter
+ * @param streamIdleMillis time without a step after which a stream loses its KV cache if
+ * the memory is short
  * @param activationBytes size of one position's activations
  * @param fencing how fencing numbers are treated
  * @param recordsPasses whether passes are counted for tests
  */
 public record EngineSettings(String model, String version, int modelLayers, LayerRange range, int layerMicros,
 		int itemMicros, int prefillMicros, int maxBatch, int kvPositions, int cacheBlocks, int loadLagMillis,
-		int cacheEventLagMillis, int cacheEventGap, int loadModelMillis, int activationBytes, FencingMode fencing,
-		boolean recordsPasses) {
+		int cacheEventLagMillis, int cacheEventGap, int loadModelMillis, int streamIdleMillis, int activationBytes,
+		FencingMode fencing, boolean recordsPasses) {
 
 	/**
 	 * Reads the settings.
@@ -46,6 +48,7 @@
 				arguments.number("kv-positions", 200_000), arguments.number("cache-blocks", 1_000),
 				arguments.number("load-lag-millis", 0), arguments.number("cache-event-lag-millis", 0),
 				arguments.number("cache-event-gap", 0), arguments.number("load-model-millis", 0),
+				arguments.number("stream-idle-millis", 60_000),
 				Math.max(Long.BYTES, arguments.number("activation-bytes", Long.BYTES)),
 				(arguments.has("ignore-fencing")) ? FencingMode.IGNORED : FencingMode.CHECKED,
 				!arguments.has("no-passes"));
@@ -70,6 +73,8 @@
 			.addOption(StandinArguments.option("cache-event-lag-millis", "millis", "delay of events, default 0"))
 			.addOption(StandinArguments.option("cache-event-gap", "n", "each n-th event is lost, default 0 for none"))
 			.addOption(StandinArguments.option("load-model-millis", "millis", "time of a load, default 0"))
+			.addOption(StandinArguments.option("stream-idle-millis", "millis",
+					"time after which unused KV memory may be reused, default 60000"))
 			.addOption(StandinArguments.option("activation-bytes", "bytes", "size per position, default 8"))
 			.addOption(StandinArguments.flag("ignore-fencing", "accept orders with any fencing number"))
 			.addOption(StandinArguments.flag("no-passes", "do not count passes, for long runs"));
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStream.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStream.java
@@ -32,10 +32,20 @@
 
 	private boolean closed;
 
+	private long lastUsedNanos;
+
 	EngineStream(String name) {
 		this.name = name;
 	}
 
+	void touch(long nowNanos) {
+		this.lastUsedNanos = nowNanos;
+	}
+
+	boolean isIdle(long nowNanos, long idleNanos) {
+		return nowNanos - this.lastUsedNanos >= idleNanos;
+	}
+
 	KvState kv() {
 		return this.kv;
 	}
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadedModel.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadedModel.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
@@ -60,7 +61,8 @@
 				old.role(), Math.max(old.fencingNumber(), order.fencingNumber()));
 	}
 
-	void apply(EngineOrder order) {
+	// Carries an order out and returns whether the model or its version changed.
+	boolean apply(EngineOrder order) {
 		EngineState old = this.state;
 		this.state = switch (order.action()) {
 			case LOAD_MODEL -> loaded(order, old);
@@ -70,6 +72,7 @@
 			case SET_ROLE -> new EngineState(old.model(), old.version(), old.adapters(), old.firstLayer(),
 					old.endLayer(), order.role(), old.fencingNumber());
 		};
+		return !Objects.equals(old.model(), this.state.model()) || !Objects.equals(old.version(), this.state.version());
 	}
 
 	private EngineState loaded(EngineOrder order, EngineState old) {
@@ -77,8 +80,9 @@
 		if (order.model() == null || order.version() == null || range.end() > this.settings.modelLayers()) {
 			throw new CodedException(ErrorCode.BAD_REQUEST, "order names no model, no version or unknown layers");
 		}
-		return new EngineState(order.model(), order.version(), List.of(), range.first(), range.end(), old.role(),
-				old.fencingNumber());
+		boolean same = order.model().equals(old.model()) && order.version().equals(old.version());
+		return new EngineState(order.model(), order.version(), (same) ? old.adapters() : List.of(), range.first(),
+				range.end(), old.role(), old.fencingNumber());
 	}
 
 	private static List<String> with(List<String> adapters, String adapter) {
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PrefixCache.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PrefixCache.java
@@ -44,6 +44,10 @@
 		evict(nowNanos);
 	}
 
+	void clear() {
+		this.blocks.clear();
+	}
+
 	private void evict(long nowNanos) {
 		Iterator<Map.Entry<Long, Integer>> oldest = this.blocks.entrySet().iterator();
 		for (int excess = this.blocks.size() - this.capacity; excess > 0; excess--) {
