Test the platform clients against the stand-ins

POST /exit is offered only by the program, because it would end a process that holds several stand-ins.

--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinMain.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinMain.java
@@ -31,7 +31,7 @@
 	public static void main(String[] arguments) throws InterruptedException {
 		PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
 		try {
-			if (!run(List.of(arguments), out)) {
+			if (run(List.of(arguments), out).isEmpty()) {
 				return;
 			}
 		}
@@ -42,22 +42,24 @@
 		new CountDownLatch(1).await();
 	}
 
-	// Returns whether stand-ins were started.
-	static boolean run(List<String> arguments, PrintWriter out) throws IOException {
+	// Returns the stand-ins that were started.
+	static List<StandinServer> run(List<String> arguments, PrintWriter out) throws IOException {
 		if (arguments.isEmpty() || arguments.contains("--help")) {
 			printHelp(arguments, out);
-			return false;
+			return List.of();
 		}
 		if (arguments.contains("--version")) {
 			String version = StandinMain.class.getPackage().getImplementationVersion();
 			out.println("comfreyslip-standins " + ((version != null) ? version : "unpackaged"));
-			return false;
+			return List.of();
 		}
+		List<StandinServer> servers = new ArrayList<>();
 		for (List<String> line : lines(arguments)) {
 			StandinServer server = start(line);
+			servers.add(server);
 			out.println(line.get(0) + " " + server.address());
 		}
-		return true;
+		return servers;
 	}
 
 	private static List<List<String>> lines(List<String> arguments) throws IOException {
@@ -78,7 +80,7 @@
 
 	private static StandinServer start(List<String> line) {
 		String[] options = line.subList(1, line.size()).toArray(String[]::new);
-		return StandinServer.start(kind(line.get(0)), options);
+		return StandinServer.start(kind(line.get(0)), true, options);
 	}
 
 	private static StandinKind kind(String name) {
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinServer.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinServer.java
@@ -40,7 +40,10 @@
 
 	private int port;
 
-	private StandinServer(StandinKind kind, StandinArguments arguments) {
+	private final boolean exits;
+
+	private StandinServer(StandinKind kind, StandinArguments arguments, boolean exits) {
+		this.exits = exits;
 		this.arguments = arguments;
 		String listen = arguments.text("listen", StandinKind.DEFAULT_LISTEN);
 		int colon = listen.lastIndexOf(':');
@@ -60,7 +63,12 @@
 	 * @return the running server
 	 */
 	public static StandinServer start(StandinKind kind, String... arguments) {
-		StandinServer server = new StandinServer(kind, StandinArguments.parse(kind.options(), arguments));
+		return start(kind, false, arguments);
+	}
+
+	// Only the program offers POST /exit, because it ends the whole process.
+	static StandinServer start(StandinKind kind, boolean exits, String... arguments) {
+		StandinServer server = new StandinServer(kind, StandinArguments.parse(kind.options(), arguments), exits);
 		server.start();
 		return server;
 	}
@@ -151,6 +159,9 @@
 			fault(request.json(FaultOrder.class));
 			return StandinReply.json("ok").now();
 		})).setReturnType(Context.class);
+		if (!this.exits) {
+			return;
+		}
 		this.app.route("POST", "/exit", (context) -> {
 			Runtime.getRuntime().halt(EXIT_STATUS);
 			return context;
--- /dev/null
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/service/ServiceStandinTests.java
@@ -0,0 +1,172 @@
+package org.comfreyslip.standins.service;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.comfreyslip.coordination.CallBoundary;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.HttpStream;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.PlatformJson;
+import org.comfreyslip.platform.service.ServiceCall;
+import org.comfreyslip.platform.service.ServiceClient;
+import org.comfreyslip.standins.Failures;
+import org.comfreyslip.standins.FaultMode;
+import org.comfreyslip.standins.FaultOrder;
+import org.comfreyslip.standins.StandinKind;
+import org.comfreyslip.standins.StandinServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a service that hides a doubled call, and against failures that say the
+ * opposite of what reached the service.
+ */
+class ServiceStandinTests {
+
+	private static final int LIMIT_MILLIS = 500;
+
+	private final PlatformHttp http = new PlatformHttp();
+
+	private StandinServer server;
+
+	@AfterEach
+	void stopServer() {
+		this.http.close();
+		this.server.close();
+	}
+
+	@Test
+	void aDoubledCallShowsAsTwoRecordsWithOneKey() throws IOException {
+		start();
+		assertThat(status(stamp("k1"))).isEqualTo(200);
+		assertThat(status(stamp("k1"))).isEqualTo(200);
+		assertThat(records()).extracting(StampRecord::key).containsExactly("k1", "k1");
+	}
+
+	@Test
+	void aStampIsFoundByKeyAndByCertificate() throws IOException {
+		start();
+		status(stamp("k1"));
+		assertThat(this.http.send(HttpCall.get(this.server.address(), "/stamps/by-key/k1"))
+			.join()
+			.json(StampRecord.class)
+			.certificate()).isEqualTo("c1");
+		assertThat(this.http.send(HttpCall.get(this.server.address(), "/stamps/c1"))
+			.join()
+			.json(StampRecords.class)
+			.records()).hasSize(1);
+		assertThat(this.http.send(HttpCall.get(this.server.address(), "/stamps/by-key/k2")).join().status())
+			.isEqualTo(404);
+	}
+
+	@Test
+	void aStampAfterItsSendByTimeIsRefusedOnlyWhereItIsEnforced() throws IOException {
+		start("--enforce-send-by");
+		assertThat(status(stamp("k1", new HttpHeader("Send-By-Epoch-Millis", "1")))).isEqualTo(504);
+		assertThat(records()).isEmpty();
+		this.server.close();
+		start();
+		assertThat(status(stamp("k1", new HttpHeader("Send-By-Epoch-Millis", "1")))).isEqualTo(200);
+	}
+
+	@Test
+	void aLostAnswerLeavesARecordAndAFailureThatSaysSent() {
+		start();
+		this.server.fault(FaultOrder.next(FaultMode.LOST_ANSWER, "POST", 1));
+		assertThat(sent(stamp("k1"))).isTrue();
+		assertThat(records()).hasSize(1);
+	}
+
+	@Test
+	void aResetLeavesNoRecordAndAFailureThatSaysSent() {
+		start();
+		this.server.fault(FaultOrder.next(FaultMode.RESET, "POST", 1));
+		assertThat(sent(stamp("k1"))).isTrue();
+		assertThat(records()).isEmpty();
+	}
+
+	@Test
+	void aClosedBoundaryLeavesNoRecordAndAFailureThatSaysNotSent() {
+		start();
+		CallBoundary boundary = new CallBoundary();
+		boundary.notRun(ErrorCode.DEADLINE_EXCEEDED, "too late", -1);
+		assertThat(sent(client().send(call("k1"), boundary))).isFalse();
+		assertThat(records()).isEmpty();
+	}
+
+	@Test
+	void aServiceThatIsDownAnswersWithARefusalAndRecordsNothing() throws IOException {
+		start();
+		this.server.fault(FaultOrder.next(FaultMode.DOWN, "POST", 1));
+		assertThat(status(stamp("k1"))).isEqualTo(503);
+		assertThat(records()).isEmpty();
+	}
+
+	@Test
+	void aServiceThatHangsFailsTheCallAtItsTimeLimit() {
+		start();
+		this.server.fault(FaultOrder.next(FaultMode.HANG, "POST", 1));
+		assertThat(sent(stamp("k1"))).isTrue();
+	}
+
+	@Test
+	void callsAboveCapacityAndQueueAreRefused() throws IOException {
+		start("--capacity", "1", "--queue", "1", "--service-millis", "200");
+		List<CompletableFuture<HttpStream>> calls = new ArrayList<>();
+		for (int call = 0; call < 3; call++) {
+			calls.add(stamp("k" + call));
+		}
+		List<Integer> statuses = new ArrayList<>();
+		for (CompletableFuture<HttpStream> call : calls) {
+			statuses.add(status(call));
+		}
+		assertThat(statuses).containsExactlyInAnyOrder(200, 200, 503);
+		assertThat(records()).hasSize(2);
+	}
+
+	private void start(String... arguments) {
+		this.server = StandinServer.start(StandinKind.SERVICE, arguments);
+	}
+
+	private ServiceClient client() {
+		return new ServiceClient(this.http, this.server.address());
+	}
+
+	private CompletableFuture<HttpStream> stamp(String key, HttpHeader... headers) {
+		return client().send(call(key, headers), new CallBoundary());
+	}
+
+	private static ServiceCall call(String key, HttpHeader... headers) {
+		List<HttpHeader> all = new ArrayList<>(List.of(headers));
+		all.add(new HttpHeader("Idempotency-Key", key));
+		all.add(new HttpHeader("Content-Type", "application/json"));
+		return new ServiceCall("POST", "/stamps", all, PlatformJson.write(new StampRequest("c1", "i1")), LIMIT_MILLIS);
+	}
+
+	private List<StampRecord> records() {
+		return this.http.send(HttpCall.get(this.server.address(), "/records"))
+			.join()
+			.json(StampRecords.class)
+			.records();
+	}
+
+	private static int status(CompletableFuture<HttpStream> call) throws IOException {
+		try (HttpStream reply = call.join()) {
+			reply.body().readAllBytes();
+			return reply.status();
+		}
+	}
+
+	private static boolean sent(CompletableFuture<HttpStream> call) {
+		return ((CallFailedException) Failures.of(call)).mayHaveBeenSent();
+	}
+
+}
