Add the operators' command

A proposal names its base version explicitly: taking the version in force at the time of the call as the base would hide a race with an operator who changed the text while the file was being edited.

--- /dev/null
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ConfigEntry.java
@@ -0,0 +1,8 @@
+package org.comfreyslip.operator;
+
+/**
+ * A record of the configuration stream.
+ */
+sealed interface ConfigEntry permits ProposalEntry, CheckpointEntry {
+
+}
--- /dev/null
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ExitCode.java
@@ -0,0 +1,84 @@
+package org.comfreyslip.operator;
+
+import org.comfreyslip.coordination.ErrorCode;
+
+/**
+ * Exit codes of the command. Scripts match on them, so a code keeps its meaning.
+ */
+public enum ExitCode {
+
+	/** The command did what was asked. */
+	OK(0, "the command did what was asked"),
+
+	/** An error that no other code describes. */
+	FAILED(1, "an error that no other code describes; the message names it"),
+
+	/** The arguments are wrong. */
+	USAGE(2, "the arguments are wrong; nothing was done"),
+
+	/** The text has faults. */
+	INVALID_TEXT(3, "the text has faults; nothing was proposed"),
+
+	/** The proposal was refused, because another version is in force. */
+	REFUSED(4, "the proposal was refused, because its base is no longer in force"),
+
+	/** Whether the proposal was accepted could not be determined. */
+	UNKNOWN(5, "whether the proposal was accepted could not be determined in time"),
+
+	/** The log or a daemon cannot be reached. */
+	UNREACHABLE(6, "the log or a daemon gave no usable response"),
+
+	/** The state was not reached in time. */
+	TIMED_OUT(7, "the version was not in force on all daemons in time"),
+
+	/** The request, service or version is not known. */
+	NOT_FOUND(8, "the request, service or version is not known"),
+
+	/** The daemon refused the operator's key. */
+	UNAUTHENTICATED(9, "a daemon refused the operator's key");
+
+	private final int code;
+
+	private final String meaning;
+
+	ExitCode(int code, String meaning) {
+		this.code = code;
+		this.meaning = meaning;
+	}
+
+	/**
+	 * Returns the exit code that fits an error.
+	 * @param code the error's code
+	 * @return the exit code
+	 */
+	public static ExitCode of(ErrorCode code) {
+		return switch (code) {
+			case INVALID_SETTINGS -> INVALID_TEXT;
+			case CONFIG_CONFLICT -> REFUSED;
+			case OUTCOME_UNKNOWN -> UNKNOWN;
+			case LOG_UNAVAILABLE, ENDPOINT_FAILED, NO_ENDPOINT -> UNREACHABLE;
+			case DEADLINE_EXCEEDED -> TIMED_OUT;
+			case NOT_FOUND, UNKNOWN_MODEL, UNKNOWN_SERVICE -> NOT_FOUND;
+			case UNAUTHENTICATED -> UNAUTHENTICATED;
+			case BAD_REQUEST -> USAGE;
+			default -> FAILED;
+		};
+	}
+
+	/**
+	 * Returns the code of the process.
+	 * @return 0 to 9
+	 */
+	public int code() {
+		return this.code;
+	}
+
+	/**
+	 * Returns the meaning for the help text and the reference page.
+	 * @return a phrase without a final period
+	 */
+	public String meaning() {
+		return this.meaning;
+	}
+
+}
