--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/CheckedText.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/CheckedText.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -14,6 +15,8 @@
  */
 final class CheckedText {
 
+	private static final Pattern BLANKS = Pattern.compile("\\s+");
+
 	private final List<SectionRule> rules;
 
 	private final FaultList faults;
@@ -60,7 +63,7 @@
 					"write a section header above the line");
 			return;
 		}
-		String[] words = section.name().split("\\s+");
+		String[] words = BLANKS.split(section.name());
 		SectionRule rule = this.rules.stream()
 			.filter((candidate) -> candidate.type().equals(words[0]))
 			.findFirst()
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/FaultList.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/FaultList.java
@@ -29,7 +29,11 @@
 	}
 
 	void add(String section, String key, String found, String allowed, String remedy) {
-		add(new SettingsFault(this.file, section, key, found, allowed, remedy));
+		if (this.faults.size() >= MAX_FAULTS) {
+			this.dropped++;
+			return;
+		}
+		this.faults.add(new SettingsFault(this.file, section, key, found, allowed, remedy));
 	}
 
 	void add(SettingsFault fault) {
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/SettingsFault.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/SettingsFault.java
@@ -1,5 +1,7 @@
 package org.comfreyslip.settings;
 
+import java.util.regex.Pattern;
+
 /**
  * One fault of a settings text.
  *
@@ -15,6 +17,8 @@
 	/** Longest quotation of the text, in characters, so that one fault fits a screen. */
 	static final int MAX_QUOTED_CHARS = 120;
 
+	private static final Pattern UNPRINTABLE = Pattern.compile("[\\p{Cc}\\p{Cs}\\p{Cf}\\p{Zl}\\p{Zp}]");
+
 	/**
 	 * Shortens the quotation and replaces its control characters, which could alter a
 	 * terminal.
@@ -27,7 +31,7 @@
 
 	private static String printable(String text) {
 		String shortened = (text.length() <= MAX_QUOTED_CHARS) ? text : text.substring(0, MAX_QUOTED_CHARS) + "...";
-		return shortened.replaceAll("[\\p{Cntrl}\\p{Cs}\\p{Cf}]", "\uFFFD");
+		return UNPRINTABLE.matcher(shortened).replaceAll("\uFFFD");
 	}
 
 	@Override
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
@@ -19,6 +19,8 @@
 	static final String NAME_ALLOWED = "a name of 1 to 63 letters, digits, '.', '_' or '-' (ASCII), starting with a "
 			+ "letter or digit";
 
+	private static final Pattern COMMA = Pattern.compile(",");
+
 	private static final Pattern DIGITS = Pattern.compile("[0-9]{1,9}");
 
 	private static final Pattern NUMBER_WITH_UNIT = Pattern.compile("[0-9]+ ?[A-Za-z%/]+");
@@ -120,7 +122,7 @@
 	}
 
 	static List<String> split(String value) {
-		return value.isBlank() ? List.of() : Pattern.compile(",").splitAsStream(value).map(String::strip).toList();
+		return value.isBlank() ? List.of() : COMMA.splitAsStream(value).map(String::strip).toList();
 	}
 
 	static CallPattern toCallPattern(String text) {
