--- /dev/null
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * JMH benchmarks of the routing decisions.
+ */
+package org.comfreyslip.load.jmh;
