Keep control characters out of the operators' terminal

Authors and names come from the log and from daemons, so lines are filtered before they are printed; authors are restricted to the characters of names. 'show' prints the text without changing its end, so that its digest stays that of the accepted text.

--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Console.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Console.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -19,6 +20,8 @@
  */
 public record Console(InputStream in, PrintStream out, PrintStream err) {
 
+	private static final Pattern UNPRINTABLE = Pattern.compile("[\\p{Cc}\\p{Cf}&&[^\n\r\t]]");
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	/**
@@ -32,7 +35,7 @@
 			this.out.println(toJson(value));
 			return;
 		}
-		lines.forEach(this.out::println);
+		lines.forEach((line) -> this.out.println(printable(line)));
 	}
 
 	/**
@@ -40,7 +43,7 @@
 	 * @param line the text
 	 */
 	void note(String line) {
-		this.err.println(line);
+		this.err.println(printable(line));
 	}
 
 	/**
@@ -57,6 +60,12 @@
 		}
 	}
 
+	// Names and texts from the log and from daemons could contain sequences that alter a
+	// terminal.
+	private static String printable(String line) {
+		return UNPRINTABLE.matcher(line).replaceAll("\uFFFD");
+	}
+
 	private static String toJson(Object value) {
 		try {
 			return MAPPER.writeValueAsString(value);
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpConfigStream.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpConfigStream.java
@@ -23,11 +23,11 @@
 
 	private static final int UNAVAILABLE = 503;
 
-	private final HttpExchange http;
+	private final HttpJsonClient http;
 
 	private final String address;
 
-	HttpConfigStream(HttpExchange http, String address) {
+	HttpConfigStream(HttpJsonClient http, String address) {
 		this.http = http;
 		this.address = address;
 	}
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
@@ -20,13 +20,13 @@
 
 	private static final int NOT_FOUND = 404;
 
-	private final HttpExchange http;
+	private final HttpJsonClient http;
 
 	private final String address;
 
 	private final Optional<String> key;
 
-	HttpDaemonApi(HttpExchange http, String address, Optional<String> key) {
+	HttpDaemonApi(HttpJsonClient http, String address, Optional<String> key) {
 		this.http = http;
 		this.address = address;
 		this.key = key;
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpExchange.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpJsonClient.java
@@ -16,7 +16,7 @@
 /**
  * HTTP calls with JSON responses.
  */
-final class HttpExchange {
+final class HttpJsonClient {
 
 	/** Time limit for a new connection. */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ImpactSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ImpactSubcommand.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.settings.DependencyGraph;
 import org.comfreyslip.settings.DependencyNode;
 import org.comfreyslip.settings.OperatorText;
@@ -38,6 +40,9 @@
 	public ExitCode run(Invocation invocation) {
 		String service = invocation.arguments(1).get(0);
 		ConfigHistory history = new ConfigHistoryReader(invocation.log()).read(-1);
+		if (history.number() == 0) {
+			throw new CodedException(ErrorCode.NOT_FOUND, "no configuration was accepted yet");
+		}
 		DependencyGraph graph = new DependencyGraph(OperatorText.parse("version " + history.number(), history.text()));
 		List<String> dependents = graph.dependentsOf(service).stream().map(DependencyNode::toString).toList();
 		List<String> causes = graph.rootCauses(DependencyNode.service(service), down(invocation.daemons()));
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
@@ -17,7 +17,7 @@
 
 	private final Ticker ticker;
 
-	private final HttpExchange http = new HttpExchange();
+	private final HttpJsonClient http = new HttpJsonClient();
 
 	/**
 	 * Creates an invocation.
@@ -107,13 +107,22 @@
 		if (addresses == null) {
 			return List.of();
 		}
-		Optional<String> key = option(CommonOptions.KEY_FILE).map((name) -> TextFile.read(name, this.console).strip());
+		Optional<String> key = option(CommonOptions.KEY_FILE).map(this::readKey);
 		return Arrays.stream(addresses)
 			.map((address) -> (DaemonApi) new HttpDaemonApi(this.http,
 					CommonOptions.address(CommonOptions.DAEMON, address), key))
 			.toList();
 	}
 
+	private String readKey(String file) {
+		String key = TextFile.read(file, this.console).strip();
+		if (!key.matches("[!-~]+")) {
+			throw new UsageException("--" + CommonOptions.KEY_FILE + ": " + file
+					+ " has to contain one key of printable ASCII characters without blanks");
+		}
+		return key;
+	}
+
 	/**
 	 * Returns the daemons that the options name.
 	 * @return at least one daemon
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposeSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposeSubcommand.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.UUID;
+import java.util.regex.Pattern;
 
 import org.apache.commons.cli.Options;
 import org.comfreyslip.coordination.CodedException;
@@ -13,6 +14,8 @@
  */
 final class ProposeSubcommand implements Subcommand {
 
+	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,63}");
+
 	private static final String BASE = "base";
 
 	private static final String AUTHOR = "author";
@@ -58,10 +61,19 @@
 		OperatorText.parse(file, text);
 		new FormatSupport(invocation).check(invocation.daemons());
 		String id = invocation.option(ID).orElseGet(() -> UUID.randomUUID().toString());
-		String author = invocation.option(AUTHOR).orElseGet(() -> System.getProperty("user.name", "unknown"));
+		String author = author(invocation);
 		return propose(invocation, base, new ProposalEntry(id, base, "", author, text, Sha256.hex(text)));
 	}
 
+	private static String author(Invocation invocation) {
+		String author = invocation.option(AUTHOR).orElseGet(() -> System.getProperty("user.name", ""));
+		if (!NAME.matcher(author).matches()) {
+			throw new UsageException("--" + AUTHOR + ": found " + author
+					+ "; allowed: 1 to 63 letters, digits, '.', '_' or '-' (ASCII)");
+		}
+		return author;
+	}
+
 	private ExitCode propose(Invocation invocation, long base, ProposalEntry draft) {
 		ConfigStream stream = invocation.log();
 		ConfigHistoryReader reader = new ConfigHistoryReader(stream);
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ShowSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ShowSubcommand.java
@@ -43,10 +43,14 @@
 		String text = arguments.isEmpty() ? history.text() : history.keptText()
 			.orElseThrow(() -> new CodedException(ErrorCode.NOT_FOUND, "the log no longer holds version " + number));
 		invocation.console().note("version " + number + " sha256 " + Sha256.hex(text));
-		invocation.result(new Result(number, Sha256.hex(text), text), List.of(text.stripTrailing()));
+		invocation.result(new Result(number, Sha256.hex(text), text), List.of(withoutLastLineEnd(text)));
 		return ExitCode.OK;
 	}
 
+	private static String withoutLastLineEnd(String text) {
+		return text.endsWith("\n") ? text.substring(0, text.length() - 1) : text;
+	}
+
 	record Result(long number, String digest, String text) {
 	}
 
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/OperatorCommandTests.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/OperatorCommandTests.java
@@ -171,6 +171,28 @@
 		assertThat(this.command.run("impact", "mail", "--log", this.log.address())).isEqualTo(ExitCode.NOT_FOUND);
 	}
 
+	@Test
+	void impactWithoutAConfigurationIsNotFound() {
+		assertThat(this.command.run("impact", "archive", "--log", this.log.address())).isEqualTo(ExitCode.NOT_FOUND);
+		assertThat(this.command.err()).contains("no configuration was accepted yet");
+	}
+
+	@Test
+	void namesFromTheLogDoNotReachTheTerminalAsControlSequences() {
+		this.log.append(ConfigEntryCodec.encode(new ProposalEntry("p", 9, "", "eve\u001b[2J", "", "")));
+		assertThat(this.command.run("history", "--log", this.log.address())).isEqualTo(ExitCode.OK);
+		assertThat(this.command.out()).contains("by eve\uFFFD[2J");
+	}
+
+	@Test
+	void aKeyFileWithoutASingleKeyIsNotSent(@TempDir Path directory) throws IOException {
+		Path key = Files.writeString(directory.resolve("key"), "two keys\n");
+		assertThat(this.command.run("drain", "--daemon", this.first.address(), "--key-file", key.toString()))
+			.isEqualTo(ExitCode.USAGE);
+		assertThat(this.command.err()).doesNotContain("two keys");
+		assertThat(this.first.isDraining()).isFalse();
+	}
+
 	@Test
 	void diffListsChangesAndIgnoresOrderAndComments() {
 		this.command.input(TEXT);
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/ProposeSubcommandTests.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/ProposeSubcommandTests.java
@@ -46,6 +46,20 @@
 		assertThat(this.command.out()).isEqualTo(FIRST);
 	}
 
+	@Test
+	void aTextIsShownExactlyAsProposed() {
+		this.command.input(SECOND + "\n# end\n\n");
+		propose("1");
+		run("show");
+		assertThat(this.command.out()).isEqualTo(SECOND + "\n# end\n\n");
+	}
+
+	@Test
+	void anAuthorWithControlCharactersIsAUsageError() {
+		assertThat(run("propose", "-", "--base", "1", "--author", "a\u001b")).isEqualTo(ExitCode.USAGE);
+		assertThat(this.log.appends()).isEqualTo(1);
+	}
+
 	@Test
 	void theLoserOfARaceIsToldWhoWon() {
 		this.log.insertBeforeNextAppend(proposal("other", 1, FIRST, FIRST + "# odile\n", "odile"));
--- a/comfreyslip-settings/src/test/java/org/comfreyslip/settings/ExampleTextsTests.java
+++ b/comfreyslip-settings/src/test/java/org/comfreyslip/settings/ExampleTextsTests.java
@@ -8,7 +8,6 @@
 
 import org.comfreyslip.routing.topology.EndpointSpec;
 import org.comfreyslip.routing.topology.EngineSpec;
-import org.comfreyslip.routing.topology.ServiceSpec;
 import org.comfreyslip.routing.topology.Topology;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -35,9 +34,7 @@
 			.containsAll(dataCentres(topology));
 		assertThat(topology.engines()).anyMatch((engine) -> engine.layers().first() > 0);
 		assertThat(dataCentres(topology)).hasSize(3);
-		assertThat(topology.findService(service).orElseThrow()).extracting(ServiceSpec::protectedCalls)
-			.asList()
-			.isNotEmpty();
+		assertThat(topology.findService(service).orElseThrow().protectedCalls()).isNotEmpty();
 		assertThat(new DependencyGraph(topology).startOrder()).isNotEmpty();
 	}
 
