State remedies that fit an operator

The remedies of the error codes address callers, for example to send a request again with the same key. Each exit code now has a remedy of its own.

--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ExitCode.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ExitCode.java
@@ -8,42 +8,51 @@
 public enum ExitCode {
 
 	/** The command did what was asked. */
-	OK(0, "the command did what was asked"),
+	OK(0, "the command did what was asked", "no action"),
 
 	/** An error that no other code describes. */
-	FAILED(1, "an error that no other code describes; the message names it"),
+	FAILED(1, "an error that no other code describes; the message names it",
+			"correct what the message names; report an internal error to the maintainers"),
 
 	/** The arguments are wrong. */
-	USAGE(2, "the arguments are wrong; nothing was done"),
+	USAGE(2, "the arguments are wrong; nothing was done", "see 'comfreyslip --help'"),
 
 	/** The text has faults. */
-	INVALID_TEXT(3, "the text has faults; nothing was proposed"),
+	INVALID_TEXT(3, "the text has faults; nothing was proposed", "correct the faults and run 'check' again"),
 
 	/** The proposal was refused, because another version is in force. */
-	REFUSED(4, "the proposal was refused, because its base is no longer in force"),
+	REFUSED(4, "the proposal was refused, because its base is no longer in force",
+			"take the version now in force, apply the change to it and propose again"),
 
 	/** Whether the proposal was accepted could not be determined. */
-	UNKNOWN(5, "whether the proposal was accepted could not be determined in time"),
+	UNKNOWN(5, "whether the proposal was accepted could not be determined in time",
+			"run propose again with the same --base and --id"),
 
 	/** The log or a daemon cannot be reached. */
-	UNREACHABLE(6, "the log or a daemon gave no usable response"),
+	UNREACHABLE(6, "the log or a daemon gave no usable response",
+			"check the address and the service, then run the command again"),
 
 	/** The state was not reached in time. */
-	TIMED_OUT(7, "the version was not in force on all daemons in time"),
+	TIMED_OUT(7, "the version was not in force on all daemons in time",
+			"look at the daemons that are behind with 'status', then wait again"),
 
 	/** The request, service or version is not known. */
-	NOT_FOUND(8, "the request, service or version is not known"),
+	NOT_FOUND(8, "the request, service or version is not known", "correct the name, or name more daemons"),
 
 	/** The daemon refused the operator's key. */
-	UNAUTHENTICATED(9, "a daemon refused the operator's key");
+	UNAUTHENTICATED(9, "a daemon refused the operator's key",
+			"give the key of an operator of the text in force with --key-file");
 
 	private final int code;
 
 	private final String meaning;
 
-	ExitCode(int code, String meaning) {
+	private final String remedy;
+
+	ExitCode(int code, String meaning, String remedy) {
 		this.code = code;
 		this.meaning = meaning;
+		this.remedy = remedy;
 	}
 
 	/**
@@ -81,4 +90,12 @@
 		return this.meaning;
 	}
 
+	/**
+	 * Returns what the operator can do about the result.
+	 * @return a phrase without a final period
+	 */
+	public String remedy() {
+		return this.remedy;
+	}
+
 }
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/OperatorCommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/OperatorCommand.java
@@ -1,7 +1,6 @@
 package org.comfreyslip.operator;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -41,10 +40,10 @@
 			return dispatch(arguments);
 		}
 		catch (UsageException | ParseException ex) {
-			return failed(json, ExitCode.USAGE, ex.getMessage(), "see 'comfreyslip --help'");
+			return failed(json, ExitCode.USAGE, ex.getMessage());
 		}
 		catch (CodedException ex) {
-			return failed(json, ExitCode.of(ex.code()), ex.getMessage(), ex.code().remedy());
+			return failed(json, ExitCode.of(ex.code()), ex.getMessage());
 		}
 	}
 
@@ -79,14 +78,13 @@
 		return subcommand.run(new Invocation(line, this.console, this.ticker));
 	}
 
-	private ExitCode failed(boolean json, ExitCode exitCode, String message, String remedy) {
+	private ExitCode failed(boolean json, ExitCode exitCode, String message) {
 		if (json) {
-			this.console.result(true,
-					Map.of("error", Map.of("code", exitCode.name(), "message", message, "remedy", remedy)), List.of());
+			this.console.result(true, new Failure(new Cause(exitCode.name(), message, exitCode.remedy())), List.of());
 		}
 		else {
 			this.console.note(message);
-			this.console.note("remedy: " + remedy);
+			this.console.note("remedy: " + exitCode.remedy());
 		}
 		return exitCode;
 	}
@@ -103,4 +101,10 @@
 		return Optional.ofNullable(OperatorCommand.class.getPackage().getImplementationVersion()).orElse("development");
 	}
 
+	record Failure(Cause error) {
+	}
+
+	record Cause(String code, String message, String remedy) {
+	}
+
 }
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/LogServer.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/LogServer.java
@@ -18,6 +18,12 @@
  */
 class LogServer implements AutoCloseable {
 
+	static {
+		// Without this the server's two writes for one response wait for a delayed
+		// acknowledgement.
+		System.setProperty("sun.net.httpserver.nodelay", "true");
+	}
+
 	private final HttpServer server;
 
 	private final List<byte[]> records = new ArrayList<>();
