Refuse placeholders in patterns of protected calls

A pattern such as 'PUT /stamps/{id}' passed the check but matches no call, so the calls it was meant for were not protected. Reading it as '*' was ruled out, because the text would then have two spellings for one pattern.

--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
@@ -59,7 +59,8 @@
 
 	static ValueRule oneOf(String... words) {
 		List<String> allowed = List.of(words);
-		return new ValueRule(allowed::contains, "one of " + String.join(", ", allowed), "use one of these words");
+		return new ValueRule(allowed::contains, ((words.length > 1) ? "one of " : "") + String.join(", ", allowed),
+				"use an allowed value");
 	}
 
 	static ValueRule address() {
@@ -135,8 +136,9 @@
 		return words.length == 2 && METHOD.matcher(words[0]).matches() && isPatternPath(words[1]);
 	}
 
+	// A placeholder such as {id} would match no call and leave the calls unprotected.
 	private static boolean isPatternPath(String path) {
-		return PATH.matcher(path).matches()
+		return PATH.matcher(path).matches() && path.indexOf('{') < 0 && path.indexOf('}') < 0
 				&& List.of(path.split("/", -1)).stream().allMatch((part) -> part.equals("*") || !part.contains("*"));
 	}
 
