--- a/comfreyslip-settings/src/test/java/org/comfreyslip/settings/OperatorTextCheckerTests.java
+++ b/comfreyslip-settings/src/test/java/org/comfreyslip/settings/OperatorTextCheckerTests.java
@@ -29,45 +29,45 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|',
 			textBlock = """
-							layers = 48                  | layers = 48 layers        | model steel-7b  | layers            | whole number
-							layers = 48                  | layers = 0                | model steel-7b  | layers            | from 1 to
-							version = 3                  | versoin = 3               | model steel-7b  | versoin           | keys layers
-							adapters = stamps,           | adapters = stamps,,       | model steel-7b  | adapters          | commas
-							depends = archive            | depends = archives        | model steel-7b  | depends           | that the text defines
-							layer-micros = 400           | layer-micros = 400us      | kind k1         | layer-micros      | microseconds
-							layer-micros = 400           | layer-micros = 0.4        | kind k1         | layer-micros      | whole number
-							layer-micros = 400           | layer-micros =            | kind k1         | layer-micros      | whole number
-							address = 10.0.0.1:9000      | address = 10.0.0.256:9000 | engine e1       | address           | IP address
-							address = 10.0.0.1:9000      | address = 10.0.0.1        | engine e1       | address           | IP address
-							address = 10.0.0.1:9000      | address = 10.0.0.1:0      | engine e1       | address           | IP address
-							address = 10.0.0.1:9000      | address = 10.0.0.1:65536  | engine e1       | address           | IP address
-							address = 10.0.0.1:9000      | address = engine.mill:90  | engine e1       | address           | IP address
-							address = [fd00::2]:9000     | address = [fd00::2::]:90  | engine e2       | address           | IP address
-							address = [fd00::2]:9000     | address = fd00::2:9000    | engine e2       | address           | IP address
-							kind = k1\\nmodel            | kind = k2\\nmodel         | engine e1       | kind              | that the text defines
-							layers = 0-20                | layers = 20-0             | engine e1       | layers            | end exclusive
-							layers = 0-20                | layers = 0-               | engine e1       | layers            | end exclusive
-							layers = 20-48               | layers = 20-49            | engine e2       | layers            | layers 0-48
-							fencing = checked            | fencing = Checked         | engine e1       | fencing           | checked, ignored
-							protected = POST /stamps     | protected = /stamps       | service archive | protected         | METHOD /path
-							protected = POST /stamps     | protected = post /stamps  | service archive | protected         | METHOD /path
-							protected = POST /stamps     | protected = POST /sta*    | service archive | protected         | METHOD /path
-							protected = POST /stamps     | protected = PUT /s/{id}   | service archive | protected         | METHOD /path
+					layers = 48                  | layers = 48 layers        | model steel-7b  | layers            | whole number
+					layers = 48                  | layers = 0                | model steel-7b  | layers            | from 1 to
+					version = 3                  | versoin = 3               | model steel-7b  | versoin           | keys layers
+					adapters = stamps,           | adapters = stamps,,       | model steel-7b  | adapters          | commas
+					depends = archive            | depends = archives        | model steel-7b  | depends           | that the text defines
+					layer-micros = 400           | layer-micros = 400us      | kind k1         | layer-micros      | microseconds
+					layer-micros = 400           | layer-micros = 0.4        | kind k1         | layer-micros      | whole number
+					layer-micros = 400           | layer-micros =            | kind k1         | layer-micros      | whole number
+					address = 10.0.0.1:9000      | address = 10.0.0.256:9000 | engine e1       | address           | IP address
+					address = 10.0.0.1:9000      | address = 10.0.0.1        | engine e1       | address           | IP address
+					address = 10.0.0.1:9000      | address = 10.0.0.1:0      | engine e1       | address           | IP address
+					address = 10.0.0.1:9000      | address = 10.0.0.1:65536  | engine e1       | address           | IP address
+					address = 10.0.0.1:9000      | address = engine.mill:90  | engine e1       | address           | IP address
+					address = [fd00::2]:9000     | address = [fd00::2::]:90  | engine e2       | address           | IP address
+					address = [fd00::2]:9000     | address = fd00::2:9000    | engine e2       | address           | IP address
+					kind = k1\\nmodel            | kind = k2\\nmodel         | engine e1       | kind              | that the text defines
+					layers = 0-20                | layers = 20-0             | engine e1       | layers            | end exclusive
+					layers = 0-20                | layers = 0-               | engine e1       | layers            | end exclusive
+					layers = 20-48               | layers = 20-49            | engine e2       | layers            | layers 0-48
+					fencing = checked            | fencing = Checked         | engine e1       | fencing           | checked, ignored
+					protected = POST /stamps     | protected = /stamps       | service archive | protected         | METHOD /path
+					protected = POST /stamps     | protected = post /stamps  | service archive | protected         | METHOD /path
+					protected = POST /stamps     | protected = POST /sta*    | service archive | protected         | METHOD /path
+					protected = POST /stamps     | protected = PUT /s/{id}   | service archive | protected         | METHOD /path
 					lookup = /stamps/by-key/{key} | lookup = /stamps/by-key  | service archive | lookup            | {key} once
-							enforces-send-by = true      | enforces-send-by = yes    | service archive | enforces-send-by  | true, false
-							timeout-ms = 2000            | timeout-ms = 2s           | service archive | timeout-ms        | milliseconds
-							service = archive\\naddr     | service = archiv\\naddr   | endpoint a1     | service           | that the text defines
-							max-concurrent = 40          | max-concurrent = -1       | account mill    | max-concurrent    | whole number
-							max-concurrent = 40          | max-concurrent = 99999999999 | account mill | max-concurrent    | whole number
-							priority = high              | priority = urgent         | account mill    | priority          | high, normal, low
-							bandwidth-mbit = 10000       | bandwidth-mbit = 10 Gbit  | link si-a si-b  | bandwidth-mbit    | megabits
-							[kind k1]                    | [kind]                    | kind            | ''                | [kind NAME]
-							[link si-a si-b]             | [link si-a]               | link si-a       | ''                | [link DC-A DC-B]
-							[link si-a si-b]             | [link si-a si-a]          | link si-a si-a  | ''                | two different
-							[operator neza]              | [opertor neza]            | opertor neza    | ''                | [operator NAME]
-							format = 1                   | format = 2                | comfreyslip     | format            | 1
-							[comfreyslip]                | # [comfreyslip]           | comfreyslip     | ''                | once
-							""")
+					enforces-send-by = true      | enforces-send-by = yes    | service archive | enforces-send-by  | true, false
+					timeout-ms = 2000            | timeout-ms = 2s           | service archive | timeout-ms        | milliseconds
+					service = archive\\naddr     | service = archiv\\naddr   | endpoint a1     | service           | that the text defines
+					max-concurrent = 40          | max-concurrent = -1       | account mill    | max-concurrent    | whole number
+					max-concurrent = 40          | max-concurrent = 99999999999 | account mill | max-concurrent    | whole number
+					priority = high              | priority = urgent         | account mill    | priority          | high, normal, low
+					bandwidth-mbit = 10000       | bandwidth-mbit = 10 Gbit  | link si-a si-b  | bandwidth-mbit    | megabits
+					[kind k1]                    | [kind]                    | kind            | ''                | [kind NAME]
+					[link si-a si-b]             | [link si-a]               | link si-a       | ''                | [link DC-A DC-B]
+					[link si-a si-b]             | [link si-a si-a]          | link si-a si-a  | ''                | two different
+					[operator neza]              | [opertor neza]            | opertor neza    | ''                | [operator NAME]
+					format = 1                   | format = 2                | comfreyslip     | format            | 1
+					[comfreyslip]                | # [comfreyslip]           | comfreyslip     | ''                | once
+					""")
 	void eachFaultNamesItsPlaceAndTheAllowedValues(String valid, String faulty, String section, String key,
 			String allowed) {
 		String text = replaced(valid.replace("\\n", "\n"), faulty.replace("\\n", "\n"));
