Let randomised claim runs settle until paused daemons have resumed

The state machines were not at fault: a daemon that is paused beyond the retention resumes up to 140 s later, and the run ended before that. Settling now lasts until 20 s after the last pause, so the check on unanswered callers is as strict as before. Resetting the pause at the end was tried and ruled out, because deferred events keep their time.

Also guards the look-up after a failure behind the first byte, which no focused test covered.

--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRun.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRun.java
@@ -20,7 +20,7 @@
 
 	private static final int DAEMONS = 3;
 
-	private static final int SETTLING_STEPS = 400;
+	private static final long SETTLING_MILLIS = 20_000;
 
 	final Random random;
 
@@ -65,12 +65,19 @@
 			step();
 			act();
 		}
+		settle();
+		assertThat(this.daemons).as("every caller of a live daemon was answered")
+			.allMatch(ClaimRunDaemon::hasAnsweredAll);
+	}
+
+	// Without new faults, until every deadline has passed on every daemon.
+	private void settle() {
 		this.quiet = true;
-		for (int i = 0; i < SETTLING_STEPS; i++) {
+		long resumed = this.daemons.stream().mapToLong((daemon) -> daemon.pausedUntil).max().orElseThrow();
+		long end = Math.max(resumed, this.now) + SETTLING_MILLIS;
+		while (this.now < end) {
 			step();
 		}
-		assertThat(this.daemons).as("every caller of a live daemon was answered")
-			.allMatch(ClaimRunDaemon::hasAnsweredAll);
 	}
 
 	private void step() {
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
@@ -122,6 +122,15 @@
 		assertThat(this.call.tryStart(0)).isFalse();
 	}
 
+	@Test
+	void aFailureAfterTheFirstByteIsLookedUpAndReleasesNothing() {
+		win();
+		this.call.tryStart(0);
+		assertThat(on(new ClaimEvent.CallFailed(true, ErrorCode.ENDPOINT_FAILED, "reset")))
+			.containsExactly(new ClaimAction.LookUp(this.key));
+		assertThat(result(on(new ClaimEvent.LookupNotFound()))).isInstanceOf(ClaimResult.Unknown.class);
+	}
+
 	@Test
 	void aStartedCallIsNeverReportedAsNotRun() {
 		win();
