--- a/spec/check.sh
+++ b/spec/check.sh
@@ -15,12 +15,12 @@
 	(
 		cd "$dir"
 		spin -a ${macro:+-D$macro} "$file" >spin.log
-		gcc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c
+		gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c
 		./pan -m1000000 >pan.log 2>&1
 	)
 	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$dir/pan.log")
 	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$dir/pan.log")
-	if grep -q 'max search depth too small\|out of memory' "$dir/pan.log"; then
+	if grep -q 'max search depth too small\|out of memory\|reached -DMEMLIM' "$dir/pan.log"; then
 		echo "FAILED: $file ${macro:-} was not searched completely"
 		return 1
 	fi
