Estimate the calls of other daemons from trust in the report's age

The estimate counted a report half after 2 s whatever the length of a call. The half-life is now two calls, at most 2 s.

--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/PlannerBenchmark.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/PlannerBenchmark.java
@@ -63,6 +63,7 @@
 	public void setUp() {
 		int models = (this.servers > 40) ? 5 : 1;
 		EndpointTable endpoints = new EndpointTable();
+		endpoints.setLiveDaemons(8);
 		List<ModelSpec> modelSpecs = new ArrayList<>();
 		List<EngineSpec> engines = new ArrayList<>();
 		for (int model = 0; model < models; model++) {
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/policy/QueueLoop.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/policy/QueueLoop.java
@@ -78,6 +78,7 @@
 		List<String> names = IntStream.range(0, settings.engines()).mapToObj(Integer::toString).toList();
 		for (int i = 0; i < settings.daemons(); i++) {
 			EndpointTable table = new EndpointTable();
+			table.setLiveDaemons(settings.daemons());
 			table.assign(GROUP, names, 0);
 			this.daemons.add(table);
 		}
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointEntry.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointEntry.java
@@ -14,12 +14,13 @@
 	 * Returns the endpoint as a candidate for a call.
 	 * @param nowNanos the current time in ns
 	 * @param defaultServiceNanos the time of one call while none was measured, in ns
+	 * @param daemons the live daemons
 	 * @return the candidate
 	 */
-	public EndpointCandidate candidate(long nowNanos, long defaultServiceNanos) {
+	public EndpointCandidate candidate(long nowNanos, long defaultServiceNanos, int daemons) {
 		long service = Math.max(1, this.health.timing().meanNanos(defaultServiceNanos));
-		return new EndpointCandidate(this.name, this.load.outstanding(), this.load.queueEstimate(nowNanos), service,
-				this.health.weight(nowNanos));
+		return new EndpointCandidate(this.name, this.load.outstanding(),
+				this.load.queueEstimate(nowNanos, service, daemons), service, this.health.weight(nowNanos));
 	}
 
 }
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointLoad.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointLoad.java
@@ -11,10 +11,24 @@
 public final class EndpointLoad {
 
 	/**
-	 * Age at which a report counts half, in ns. Reports come every one to two seconds, so
-	 * that a missed report halves its influence.
+	 * Age at which a report counts half, in calls at the endpoint. A report that is much
+	 * older than a call says little about the queue now, and all daemons that trust it
+	 * choose alike.
 	 */
-	public static final long REPORT_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+	public static final double HALF_LIFE_CALLS = 2;
+
+	/**
+	 * Longest age at which a report counts half, in ns. Reports come every one to two
+	 * seconds, so that a missed report halves its influence.
+	 */
+	public static final long MAX_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	/**
+	 * Most daemons that are assumed to have as many calls at the endpoint as this one.
+	 * With more daemons each has so few calls that its own count says little about the
+	 * others.
+	 */
+	public static final int MAX_ASSUMED_DAEMONS = 8;
 
 	private int outstanding;
 
@@ -76,18 +90,24 @@
 	}
 
 	/**
-	 * Estimates the calls at the endpoint: the report, weighted by its age, plus what the
-	 * daemon itself added since; never below its own calls.
+	 * Estimates the calls at the endpoint: the daemon's own calls, which are known
+	 * exactly, plus those of other daemons. The latter come from the last report as far
+	 * as it is trusted at its age, and otherwise from the assumption that each of the
+	 * other daemons has as many calls there as this one.
 	 * @param nowNanos the current time in ns
-	 * @return the expected count of calls at the endpoint
+	 * @param serviceNanos the expected time of one call at the endpoint, in ns
+	 * @param daemons the live daemons, at least 1
+	 * @return the expected count of calls at the endpoint, at least the own ones
 	 */
-	public double queueEstimate(long nowNanos) {
+	public double queueEstimate(long nowNanos, long serviceNanos, int daemons) {
+		double assumed = (double) this.outstanding * (Math.min(MAX_ASSUMED_DAEMONS, daemons) - 1);
 		if (!this.reported) {
-			return this.outstanding;
+			return this.outstanding + assumed;
 		}
-		double halfLives = (double) reportAgeNanos(nowNanos) / REPORT_HALF_LIFE_NANOS;
-		double trusted = this.reportedQueue * Math.pow(0.5, halfLives);
-		return Math.max(this.outstanding, trusted + this.outstanding - this.outstandingAtReport);
+		double halfLife = Math.min(MAX_HALF_LIFE_NANOS, HALF_LIFE_CALLS * Math.max(1, serviceNanos));
+		double trust = Math.pow(0.5, reportAgeNanos(nowNanos) / halfLife);
+		double others = Math.max(0, this.reportedQueue - this.outstandingAtReport);
+		return this.outstanding + trust * others + (1 - trust) * assumed;
 	}
 
 }
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointTable.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/endpoint/EndpointTable.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import org.comfreyslip.routing.invariant.Invariants;
+
 /**
  * All endpoints of all services and models by name. The caller holds the lock of the
  * table during each call.
@@ -25,6 +27,27 @@
 
 	private long turn;
 
+	private int liveDaemons = 1;
+
+	/**
+	 * Sets the number of live daemons, from which the calls of others are estimated.
+	 * @param count the live daemons, this one included, at least 1
+	 */
+	public void setLiveDaemons(int count) {
+		if (count < 1) {
+			throw Invariants.violated("live daemons " + count + "; this daemon itself is live");
+		}
+		this.liveDaemons = count;
+	}
+
+	/**
+	 * Returns the number of live daemons.
+	 * @return the count, at least 1
+	 */
+	public int liveDaemons() {
+		return this.liveDaemons;
+	}
+
 	/**
 	 * Sets the endpoints of a service or model. Endpoints that stay keep their state.
 	 * @param group the service or model
@@ -90,7 +113,7 @@
 			}
 			if (grant == EndpointGrant.NORMAL) {
 				entries.add(entry);
-				candidates.add(entry.candidate(nowNanos, DEFAULT_SERVICE_NANOS));
+				candidates.add(entry.candidate(nowNanos, DEFAULT_SERVICE_NANOS, this.liveDaemons));
 			}
 		}
 		if (candidates.isEmpty()) {
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/plan/PlanningTable.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/plan/PlanningTable.java
@@ -46,6 +46,8 @@
 
 	private final String home;
 
+	private final EndpointTable endpoints;
+
 	private final Map<String, PlanningModel> models = new HashMap<>();
 
 	private final Map<String, double[]> layerNanosByKind = new HashMap<>();
@@ -61,6 +63,7 @@
 	 */
 	public PlanningTable(Topology topology, String home, EndpointTable endpoints) {
 		this.home = home;
+		this.endpoints = endpoints;
 		for (KindSpec kind : topology.kinds()) {
 			this.layerNanosByKind.put(kind.name(), new double[] { kind.layerMicros() * 1e3 });
 		}
@@ -147,8 +150,9 @@
 		int cached = Math.min(request.promptTokens(), request.cachedTokens().applyAsInt(engine.stage().engine()));
 		double prefill = request.promptTokens() * PREFILL_SHARE * tokenNanos;
 		double credit = prefill * cached / request.promptTokens();
-		double steps = request.expectedTokens() * tokenNanos + prefill;
-		double wait = entry.load().queueEstimate(nowNanos) * tokenNanos * request.expectedTokens();
+		double response = tokenNanos * request.expectedTokens();
+		double steps = response + prefill;
+		double wait = entry.load().queueEstimate(nowNanos, (long) response, this.endpoints.liveDaemons()) * response;
 		LinkEstimate link = engine.link();
 		double perToken = link.transferNanos(BYTES_PER_TOKEN, nowNanos);
 		double prompt = link.transferNanos((double) BYTES_PER_TOKEN * request.promptTokens(), nowNanos);
