--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformTimeouts.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformTimeouts.java
@@ -9,8 +9,11 @@
  */
 public record PlatformTimeouts(int connectMillis, int readMillis, int writeMillis) {
 
-	/** Limits for calls within a region. */
-	public static final PlatformTimeouts DEFAULT = new PlatformTimeouts(1_000, 10_000, 10_000);
+	/**
+	 * Limits for calls within a region. TCP repeats a lost connection request after 1 s,
+	 * so the limit for connecting lies above that.
+	 */
+	public static final PlatformTimeouts DEFAULT = new PlatformTimeouts(1_500, 10_000, 10_000);
 
 	/**
 	 * Checks the limits.
