Ask every endpoint of a service when a key is looked up

WholePathTests showed a repeated stamp answered as unknown: the first request's outcome was not yet in the log, and the look-up had gone to the endpoint that did not hold the record. Endpoints may keep their records apart, so a result is missing only if every endpoint says so. The remaining window, in which the outcome is on its way to the log, is closed separately.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/OutcomeLookup.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/OutcomeLookup.java
@@ -1,7 +1,6 @@
 package org.comfreyslip.daemon.claim;
 
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.comfreyslip.coordination.claim.ClaimKey;
@@ -9,8 +8,6 @@
 import org.comfreyslip.coordination.claim.ClaimStatus;
 import org.comfreyslip.coordination.claim.ClaimView;
 import org.comfreyslip.coordination.claim.RecordedResponse;
-import org.comfreyslip.daemon.route.SelectedEndpoint;
-import org.comfreyslip.routing.endpoint.EndpointFailure;
 import org.comfreyslip.routing.topology.ServiceSpec;
 
 /**
@@ -43,21 +40,10 @@
 	}
 
 	private CompletableFuture<OutcomeView> ask(ClaimKey key, ServiceSpec service, ClaimView view) {
-		Optional<SelectedEndpoint> selected = this.context.tables()
-			.select(service.name(), Set.of(), true, this.context.clock().getAsLong());
-		if (selected.isEmpty()) {
-			return done(OutcomeView.State.UNKNOWN);
-		}
-		long sentAt = this.context.clock().getAsLong();
-		return this.context.calls().lookUp(selected.get().endpoint(), service, key).handle((found, ex) -> {
-			long now = this.context.clock().getAsLong();
-			if (ex != null) {
-				this.context.tables().fail(selected.get().call(), EndpointFailure.ERROR, now);
-				return new OutcomeView(OutcomeView.State.UNKNOWN, Optional.empty());
-			}
-			this.context.tables().succeed(selected.get().call(), now, now - sentAt);
-			found.ifPresent((response) -> record(key, view, response));
-			return new OutcomeView(found.isPresent() ? OutcomeView.State.DONE : OutcomeView.State.UNKNOWN, found);
+		return new KeyLookup(this.context).find(service, key).handle((found, ex) -> {
+			Optional<RecordedResponse> response = (ex != null) ? Optional.empty() : found;
+			response.ifPresent((result) -> record(key, view, result));
+			return new OutcomeView(response.isPresent() ? OutcomeView.State.DONE : OutcomeView.State.UNKNOWN, response);
 		});
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
@@ -201,25 +201,15 @@
 	}
 
 	private void lookUp() {
-		Optional<SelectedEndpoint> selected = this.context.tables().select(this.service.name(), Set.of(), true, now());
-		if (selected.isEmpty()) {
-			on(new ClaimEvent.LookupFailed());
-			return;
-		}
-		long sentAt = now();
-		this.context.calls()
-			.lookUp(selected.get().endpoint(), this.service, this.request.key())
-			.whenComplete((found, ex) -> {
-				if (ex == null) {
-					this.context.tables().succeed(selected.get().call(), now(), now() - sentAt);
-					onServiceEvent(found.<ClaimEvent>map(ClaimEvent.LookupFound::new)
-						.orElseGet(ClaimEvent.LookupNotFound::new));
-				}
-				else {
-					this.context.tables().fail(selected.get().call(), EndpointFailure.ERROR, now());
-					onServiceEvent(new ClaimEvent.LookupFailed());
-				}
-			});
+		new KeyLookup(this.context).find(this.service, this.request.key()).whenComplete((found, ex) -> {
+			if (ex == null) {
+				onServiceEvent(
+						found.<ClaimEvent>map(ClaimEvent.LookupFound::new).orElseGet(ClaimEvent.LookupNotFound::new));
+			}
+			else {
+				onServiceEvent(new ClaimEvent.LookupFailed());
+			}
+		});
 	}
 
 	private void answer(ClaimResult answer) {
