Test the spread over near-best engines of different score

A planner that always compared with the first option passed the tests, because the engines in them were equal. The new test has one engine that is slightly worse and one far outside of the near-best band.

--- a/comfreyslip-routing/src/test/java/org/comfreyslip/routing/plan/PipelinePlannerTests.java
+++ b/comfreyslip-routing/src/test/java/org/comfreyslip/routing/plan/PipelinePlannerTests.java
@@ -59,6 +59,13 @@
 		assertThat(engines(planner, 100)).containsExactlyInAnyOrder("x", "y", "z");
 	}
 
+	@Test
+	void aSlightlyWorseEngineTakesAPartOfTheResponsesAndAMuchWorseOneNone() {
+		PipelinePlanner planner = planner(12, engine("best", "a", 0, 12), engine("near", "b", 0, 12),
+				engine("far", "z", 0, 12));
+		assertThat(engines(planner, 100)).containsExactlyInAnyOrder("best", "near");
+	}
+
 	@Test
 	void aLongQueueIsAvoided() {
 		PipelinePlanner planner = planner(12, engine("x", "a", 0, 12), engine("y", "a", 0, 12));
