Keep request bodies up to 8 MB of the stand-ins in memory

Jooby writes bodies above its buffer size, 16 KB by default, to a file. A step with 16 KB of activations is larger than that in base64.

--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
@@ -54,9 +54,12 @@
 			}
 			return message;
 		}
+		catch (JsonProcessingException ex) {
+			throw new CodedException(ErrorCode.BAD_REQUEST,
+					"not a " + type.getSimpleName() + ": " + ex.getOriginalMessage(), ex);
+		}
 		catch (IOException ex) {
-			throw new CodedException(ErrorCode.BAD_REQUEST, "not a " + type.getSimpleName() + ": " + ex.getMessage(),
-					ex);
+			throw new CodedException(ErrorCode.BAD_REQUEST, "not a " + type.getSimpleName(), ex);
 		}
 	}
 
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinServer.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinServer.java
@@ -21,6 +21,9 @@
 	/** A KV cache travels as one body. */
 	private static final int MAX_REQUEST_BYTES = 64 * 1024 * 1024;
 
+	/** Jooby writes larger request bodies to a file; the default is 16 KB. */
+	private static final int MEMORY_BODY_BYTES = 8 * 1024 * 1024;
+
 	/** A free port can be taken by another process before the server binds it. */
 	private static final int BIND_ATTEMPTS = 5;
 
@@ -137,6 +140,7 @@
 			.setIoThreads(this.arguments.number("io-threads", 2))
 			.setWorkerThreads(1)
 			.setMaxRequestSize(MAX_REQUEST_BYTES)
+			.setBufferSize(MEMORY_BODY_BYTES)
 			.setDefaultHeaders(false);
 		options.setHost(this.host);
 		this.app = new Jooby();
