--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
@@ -80,12 +80,15 @@
 		return queued.future();
 	}
 
-	// Returns the time that a batch takes.
+	// Returns the time that a batch takes. Steps of an ended attempt take none.
 	synchronized long begin(List<EngineStep> batch) {
 		this.running = batch.size();
 		long micros = 0;
 		int layers = 0;
 		for (EngineStep step : batch) {
+			if (this.streams.get(step.request().stream()).isStale(step.request().attempt())) {
+				continue;
+			}
 			layers = Math.max(layers, step.range().count());
 			micros += stepMicros(step.request());
 		}
@@ -126,10 +129,10 @@
 		return new KvCache(positions, stream.kv().write());
 	}
 
-	synchronized void importKv(String name, KvCache imported) {
+	synchronized void importKv(String name, KvCache imported, long nowNanos) {
 		EngineStream stream = this.streams.get(name);
-		stream.touch(System.nanoTime());
-		requireMemory(imported.positions() - stream.kv().size());
+		stream.touch(nowNanos);
+		requireMemory(imported.positions() - stream.kv().size(), nowNanos);
 		this.streams.change(stream, () -> {
 			stream.kv().read(imported.data(), this.loaded.range());
 			return stream;
@@ -177,7 +180,7 @@
 		this.runner.checkPosition(step, range, stream.kv());
 		stream.touch(nowNanos);
 		if (step.kind() != StepKind.REBUILD_DISCARD) {
-			requireMemory(step.position() + step.count() - stream.kv().size());
+			requireMemory(step.position() + step.count() - stream.kv().size(), nowNanos);
 		}
 		int cached = cachedPositions(step);
 		long[] values = this.streams.change(stream, () -> this.runner.run(step, range, stream.kv()));
@@ -197,10 +200,9 @@
 		}
 	}
 
-	private void requireMemory(int more) {
+	private void requireMemory(int more, long nowNanos) {
 		if (more > kvFree()) {
-			this.streams.releaseIdle(System.nanoTime(),
-					TimeUnit.MILLISECONDS.toNanos(this.settings.streamIdleMillis()));
+			this.streams.releaseIdle(nowNanos, TimeUnit.MILLISECONDS.toNanos(this.settings.streamIdleMillis()));
 		}
 		if (more > Math.max(0, kvFree())) {
 			throw new CodedException(ErrorCode.OVERLOADED, "the KV memory is full: " + this.streams.positionsHeld()
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStandin.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStandin.java
@@ -88,7 +88,7 @@
 
 	private StandinReply importKv(StandinRequest request) {
 		int positions = (int) request.header(EngineClient.KV_POSITIONS, 0);
-		this.core.importKv(request.path("id"), new KvCache(positions, request.body()));
+		this.core.importKv(request.path("id"), new KvCache(positions, request.body()), System.nanoTime());
 		return StandinReply.json("ok");
 	}
 
