--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MemberTable.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MemberTable.java
@@ -168,7 +168,7 @@
 				reports.add(entry.report);
 			}
 			else if (entry.beatChange > record.confirmed && !entry.report.member().name().equals(peer)) {
-				beats.add(new MemberBeat(key(entry.report.member()), entry.report.heartbeat()));
+				beats.add(new MemberBeat(entry.key, entry.report.heartbeat()));
 			}
 		}
 		MembershipDelta delta = new MembershipDelta(this.self.member().name(), this.wantsAll, reports, beats, usage,
@@ -257,10 +257,10 @@
 		if (known == null || !known.report.isSameRun(report)) {
 			Entry entry = new Entry(report, this.change, now);
 			if (known != null) {
-				this.byKey.remove(key(known.report.member()), known);
+				this.byKey.remove(known.key, known);
 			}
 			this.entries.put(report.member().name(), entry);
-			this.byKey.put(key(report.member()), entry);
+			this.byKey.put(entry.key, entry);
 			return;
 		}
 		known.update(report, this.change, now);
@@ -274,7 +274,7 @@
 		for (Entry entry : silent) {
 			Member member = entry.report.member();
 			this.entries.remove(member.name());
-			this.byKey.remove(key(member), entry);
+			this.byKey.remove(entry.key, entry);
 			this.peers.remove(member.name());
 			this.removed.put(member.name(), entry);
 		}
@@ -314,6 +314,8 @@
 	/** One member, and when it changed. */
 	private static final class Entry {
 
+		private final int key;
+
 		private MemberReport report;
 
 		private long reportChange;
@@ -323,6 +325,7 @@
 		private long heardAt;
 
 		Entry(MemberReport report, long change, long now) {
+			this.key = key(report.member());
 			this.report = report;
 			this.reportChange = change;
 			this.beatChange = change;
--- /dev/null
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/config/ConfigRandomTests.java
@@ -0,0 +1,345 @@
+package org.comfreyslip.coordination.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tag;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.comfreyslip.coordination.FakeLog;
+import org.comfreyslip.coordination.FakeLog.Answer;
+import org.comfreyslip.coordination.FakeLog.Fault;
+import org.comfreyslip.coordination.config.ConfigProposalAttempt.Action;
+import org.comfreyslip.coordination.config.ConfigRecord.Checkpoint;
+import org.comfreyslip.coordination.config.ConfigRecord.Proposal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against daemons that disagree, an accepted configuration that reverts, and
+ * operators that are told a wrong outcome, under random faults. The long run:
+ * {@code mvn -o -B -ntp verify -pl comfreyslip-coordination -am -Dtest.excludedGroups=
+ * -Dtest=ConfigRandomTests -Dsurefire.failIfNoSpecifiedTests=false}.
+ */
+class ConfigRandomTests {
+
+	private static final int DAEMONS = 5;
+
+	private static final int OPERATORS = 3;
+
+	private static final int STEPS = 400;
+
+	private static final Map<Fault, Integer> FAULTS = FakeLog.noFaults();
+
+	private static final Map<String, Integer> OUTCOMES = new TreeMap<>();
+
+	@Property(tries = 200, seed = "20", edgeCases = EdgeCasesMode.NONE, shrinking = ShrinkingMode.OFF)
+	void allDaemonsFollowTheLog(@ForAll long seed) {
+		new Run(seed).execute();
+	}
+
+	@Tag("long")
+	@Property(tries = 20_000, edgeCases = EdgeCasesMode.NONE, shrinking = ShrinkingMode.OFF)
+	void allDaemonsFollowTheLogInManyRuns(@ForAll long seed) {
+		new Run(seed).execute();
+	}
+
+	@AfterContainer
+	static void printFaults() {
+		System.out.println("configuration runs, faults " + FAULTS + ", outcomes " + OUTCOMES);
+		assertThat(FAULTS).containsKeys(Fault.LOST_ANSWER, Fault.READING_GAP, Fault.START_FROM_PEERS);
+	}
+
+	/** One run. */
+	private static final class Run {
+
+		private final Random random;
+
+		private final FakeLog<ConfigRecord> log;
+
+		private final ConfigFold truth = new ConfigFold(ConfigSnapshot.INITIAL);
+
+		private final List<ConfigSnapshot> history = new ArrayList<>(List.of(ConfigSnapshot.INITIAL));
+
+		private final Set<String> accepted = new HashSet<>();
+
+		private final Set<String> neverAccepted = new HashSet<>();
+
+		private final List<Daemon> daemons = new ArrayList<>();
+
+		private final List<Operator> operators = new ArrayList<>();
+
+		private final List<Checkpoint> held = new ArrayList<>();
+
+		private int nonce;
+
+		private long now;
+
+		Run(long seed) {
+			this.random = new Random(seed);
+			this.log = new FakeLog<>(this.random, FAULTS, this::onRecord);
+			for (int i = 0; i < DAEMONS; i++) {
+				this.daemons.add(new Daemon(i));
+			}
+			for (int i = 0; i < OPERATORS; i++) {
+				this.operators.add(new Operator(i));
+			}
+		}
+
+		void execute() {
+			for (int i = 0; i < STEPS; i++) {
+				this.now += this.random.nextInt(400_000_000);
+				step(this.random.nextInt(100));
+			}
+			assertThat(this.accepted).noneMatch(this.neverAccepted::contains);
+		}
+
+		private void step(int dice) {
+			Daemon daemon = this.daemons.get(this.random.nextInt(DAEMONS));
+			if (dice < 45) {
+				daemon.read();
+			}
+			else if (dice < 75) {
+				this.operators.get(this.random.nextInt(OPERATORS)).act();
+			}
+			else if (dice < 82) {
+				daemon.gossip(this.daemons.get(this.random.nextInt(DAEMONS)));
+			}
+			else if (dice < 88) {
+				checkpoint(daemon);
+			}
+			else if (dice < 91) {
+				this.log.toggleOutage();
+			}
+			else if (dice < 94) {
+				daemon.restart();
+			}
+			else if (dice < 97) {
+				this.log.trim(this.random.nextInt(this.log.tail() + 1));
+			}
+			else {
+				this.log.deliverLate();
+			}
+		}
+
+		private void checkpoint(Daemon daemon) {
+			daemon.state().ifPresent((state) -> this.held.add(new Checkpoint(state)));
+			if (!this.held.isEmpty() && this.random.nextBoolean()) {
+				int chosen = this.random.nextInt(this.held.size());
+				if (chosen < this.held.size() - 1) {
+					this.log.count(Fault.LATE_CHECKPOINT);
+				}
+				this.log.append(this.held.remove(chosen));
+			}
+		}
+
+		private void onRecord(ConfigRecord record) {
+			ConfigVerdict verdict = this.truth.apply(this.history.size() - 1, record);
+			this.history.add(this.truth.snapshot());
+			if (verdict instanceof ConfigVerdict.Accepted winner) {
+				assertThat(this.accepted.add(winner.proposalId())).isTrue();
+			}
+		}
+
+		private void checkAgainstTruth(ConfigSnapshot state) {
+			assertThat(state).isEqualTo(this.history.get((int) state.foldedUpTo() + 1));
+		}
+
+		private List<LoggedConfigRecord> recordsFrom(long offset) {
+			List<LoggedConfigRecord> records = new ArrayList<>();
+			long first = Math.max(offset, this.log.head());
+			long end = Math.min(this.log.tail(), first + 1 + this.random.nextInt(20));
+			for (long i = first; i < end; i++) {
+				records.add(new LoggedConfigRecord(i, Optional.of(this.log.get(i))));
+			}
+			return records;
+		}
+
+		/** One daemon, which reads and starts. */
+		private final class Daemon {
+
+			private final int index;
+
+			private ConfigBootstrap bootstrap;
+
+			private ConfigFold fold;
+
+			private ConfigSnapshot last = ConfigSnapshot.INITIAL;
+
+			Daemon(int index) {
+				this.index = index;
+				begin(ConfigSnapshot.INITIAL);
+			}
+
+			Optional<ConfigSnapshot> state() {
+				return Optional.ofNullable(this.fold).map(ConfigFold::snapshot);
+			}
+
+			void restart() {
+				Run.this.log.count(Fault.RESTART);
+				this.fold = null;
+				this.last = ConfigSnapshot.INITIAL;
+				begin(ConfigSnapshot.INITIAL);
+			}
+
+			List<ConfigVerdict> read() {
+				if (this.fold == null) {
+					boot();
+				}
+				else if (!Run.this.log.isDown()) {
+					return follow();
+				}
+				return List.of();
+			}
+
+			void gossip(Daemon peer) {
+				if (this.fold != null && peer.fold != null) {
+					String text = this.fold.snapshot().text();
+					String wanted = peer.fold.snapshot().text();
+					assertThat(ConfigDelta.between(text, wanted).applyTo(text)).isEqualTo(wanted);
+					this.fold.adopt(peer.fold.snapshot());
+					check();
+				}
+			}
+
+			private void begin(ConfigSnapshot floor) {
+				Set<String> peers = new HashSet<>();
+				for (int i = 0; i < DAEMONS; i++) {
+					peers.add("d" + i);
+				}
+				peers.remove("d" + this.index);
+				this.bootstrap = new ConfigBootstrap(floor, peers);
+			}
+
+			private void boot() {
+				if (!Run.this.log.isDown()) {
+					this.bootstrap.onRead(Run.this.log.head(), Run.this.log.tail(),
+							recordsFrom(this.bootstrap.nextOffset()));
+				}
+				if (Run.this.log.isDown() || Run.this.random.nextInt(4) == 0) {
+					askPeer();
+				}
+				this.bootstrap.fold().ifPresent((reached) -> {
+					this.fold = reached;
+					check();
+				});
+			}
+
+			private void askPeer() {
+				Daemon peer = Run.this.daemons.get(Run.this.random.nextInt(DAEMONS));
+				this.bootstrap.onPeer("d" + peer.index, peer.state());
+				if (this.bootstrap.fold().isEmpty() && this.bootstrap.tryPeers()) {
+					Run.this.log.count(Fault.START_FROM_PEERS);
+				}
+			}
+
+			private List<ConfigVerdict> follow() {
+				List<ConfigVerdict> verdicts = new ArrayList<>();
+				if (!this.fold.snapshot().reaches(Run.this.log.head())) {
+					Run.this.log.count(Fault.READING_GAP);
+					begin(this.fold.snapshot());
+					this.fold = null;
+					return verdicts;
+				}
+				for (LoggedConfigRecord logged : recordsFrom(this.fold.snapshot().foldedUpTo() + 1)) {
+					verdicts.add(logged.applyTo(this.fold));
+				}
+				check();
+				return verdicts;
+			}
+
+			private void check() {
+				this.fold.snapshot().assertNotBehind(this.last);
+				this.last = this.fold.snapshot();
+				checkAgainstTruth(this.last);
+			}
+
+		}
+
+		/** One operator, whose reader may meet gaps. */
+		private final class Operator {
+
+			private final int index;
+
+			private ConfigFold reader;
+
+			private ConfigProposalAttempt attempt;
+
+			Operator(int index) {
+				this.index = index;
+			}
+
+			void act() {
+				if (this.attempt == null) {
+					propose();
+					return;
+				}
+				read();
+				Action action = this.attempt.next(Run.this.now);
+				if (action == Action.APPEND) {
+					append();
+				}
+				this.attempt.outcome().ifPresent(this::finish);
+			}
+
+			private void propose() {
+				Daemon daemon = Run.this.daemons.get(Run.this.random.nextInt(DAEMONS));
+				daemon.state().ifPresent((state) -> {
+					Run.this.nonce++;
+					this.reader = new ConfigFold(state);
+					Proposal proposal = Proposal.create("n" + Run.this.nonce, state.version(), "o" + this.index,
+							state.text() + Run.this.nonce + "\n");
+					this.attempt = new ConfigProposalAttempt(proposal, Run.this.now, 20_000_000_000L);
+				});
+			}
+
+			private void read() {
+				if (Run.this.log.isDown()) {
+					return;
+				}
+				if (!this.reader.snapshot().reaches(Run.this.log.head())) {
+					Run.this.log.count(Fault.READING_GAP);
+					this.attempt.onReadingGap();
+					this.reader = new ConfigFold(Run.this.truth.snapshot());
+				}
+				for (LoggedConfigRecord logged : recordsFrom(this.reader.snapshot().foldedUpTo() + 1)) {
+					this.attempt.onVerdict(logged.applyTo(this.reader));
+				}
+			}
+
+			private void append() {
+				Answer answer = Run.this.log.append(this.attempt.proposal());
+				switch (answer) {
+					case STORED -> this.attempt.onAppended();
+					case LOST -> this.attempt.onAnswerLost(Run.this.now);
+					case REFUSED -> this.attempt.onAppendRefused(Run.this.now);
+					default -> throw new IllegalStateException();
+				}
+			}
+
+			private void finish(ConfigProposalAttempt.Outcome outcome) {
+				String id = this.attempt.proposal().id();
+				if (outcome instanceof ConfigProposalAttempt.Accepted) {
+					assertThat(Run.this.accepted).contains(id);
+				}
+				else if (!(outcome instanceof ConfigProposalAttempt.StillUnknown)) {
+					Run.this.neverAccepted.add(id);
+				}
+				OUTCOMES.merge(outcome.getClass().getSimpleName(), 1, Integer::sum);
+				this.attempt = null;
+			}
+
+		}
+
+	}
+
+}
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/membership/MemberTableTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/membership/MemberTableTests.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.coordination.membership;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 
@@ -97,7 +98,7 @@
 	@Test
 	void aDamagedDifferenceIsRefused() {
 		byte[] bytes = this.a.deltaFor("b", List.of()).encode();
-		byte[] cut = java.util.Arrays.copyOf(bytes, bytes.length / 2);
+		byte[] cut = Arrays.copyOf(bytes, bytes.length / 2);
 		assertThatExceptionOfType(CodedException.class).isThrownBy(() -> MembershipDelta.decode(cut));
 	}
 
