Send old member reports as heartbeats and ask for unknown ones

A random peer is met again only after about the number of members of a data centre in seconds, so that a difference since the last exchange held almost every full report: 21092 bytes per exchange at 390 members, 50620 bytes/s sent and received per daemon in the first minute after a start. Now a report is sent in full for 5 s after its change and otherwise as a heartbeat whose key covers the report's content; a receiver asks for unknown keys. Measured with the same program: 4595 bytes per exchange, 11028 bytes/s.

A flag that asks for all reports was ruled out, because each missed change would have cost the whole table.

--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MemberTable.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MemberTable.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
@@ -26,6 +27,9 @@
 	 */
 	private static final long REMEMBER_REMOVED_NANOS = 10 * MemberState.REMOVED_NANOS;
 
+	/** Time in which a changed report is sent in full without being asked for. */
+	private static final long NEWS_NANOS = 5_000_000_000L;
+
 	private final Map<String, Entry> entries = new TreeMap<>();
 
 	private final Map<Integer, Entry> byKey = new HashMap<>();
@@ -40,7 +44,7 @@
 
 	private long change;
 
-	private boolean wantsAll;
+	private final Set<Integer> wanted = new HashSet<>();
 
 	private long lastTick;
 
@@ -55,15 +59,18 @@
 	}
 
 	/**
-	 * Returns the short key of a run, for heartbeats.
-	 * @param member the run
-	 * @return a 32-bit hash of name and incarnation
+	 * Returns the short key of a report, for heartbeats. A receiver that knows the key
+	 * has the same report but for the heartbeat.
+	 * @param report the report
+	 * @return a 32-bit hash of name, incarnation, phase and configuration version
 	 */
-	public static int key(Member member) {
+	public static int key(MemberReport report) {
 		return (int) Hashing.komihash5_0()
 			.hashStream()
-			.putString(member.name())
-			.putLong(member.incarnation())
+			.putString(report.member().name())
+			.putLong(report.member().incarnation())
+			.putInt(report.phase().ordinal())
+			.putLong(report.configVersion())
 			.getAsLong();
 	}
 
@@ -164,16 +171,16 @@
 		List<MemberReport> reports = new ArrayList<>();
 		List<MemberBeat> beats = new ArrayList<>();
 		for (Entry entry : this.entries.values()) {
-			if (entry.reportChange > record.confirmed) {
+			if (record.requested.contains(entry.key) || isNews(entry, record)) {
 				reports.add(entry.report);
 			}
 			else if (entry.beatChange > record.confirmed && !entry.report.member().name().equals(peer)) {
 				beats.add(new MemberBeat(entry.key, entry.report.heartbeat()));
 			}
 		}
-		MembershipDelta delta = new MembershipDelta(this.self.member().name(), this.wantsAll, reports, beats, usage,
-				noticesAfter(record.confirmed));
-		this.wantsAll = false;
+		MembershipDelta delta = new MembershipDelta(this.self.member().name(), List.copyOf(this.wanted), reports, beats,
+				usage, noticesAfter(record.confirmed));
+		this.wanted.clear();
 		return delta;
 	}
 
@@ -185,6 +192,7 @@
 		PeerRecord record = this.peers.get(peer);
 		if (record != null) {
 			record.confirmed = record.sent;
+			record.requested.clear();
 		}
 	}
 
@@ -195,11 +203,11 @@
 	 * @return the news about endpoints that this daemon did not have
 	 */
 	public List<EndpointNotice> merge(MembershipDelta delta, long now) {
-		if (delta.wantsAll()) {
-			this.peers.remove(delta.from());
-		}
 		delta.reports().forEach((report) -> mergeReport(report, now));
 		delta.beats().forEach((beat) -> mergeBeat(beat, now));
+		if (!delta.wanted().isEmpty()) {
+			this.peers.computeIfAbsent(delta.from(), (name) -> new PeerRecord()).requested.addAll(delta.wanted());
+		}
 		return delta.notices().stream().filter(this::addNotice).toList();
 	}
 
@@ -242,7 +250,10 @@
 	private void mergeBeat(MemberBeat beat, long now) {
 		Entry known = this.byKey.get(beat.key());
 		if (known == null) {
-			this.wantsAll = true;
+			this.wanted.add(beat.key());
+			return;
+		}
+		if (known.key != beat.key()) {
 			return;
 		}
 		MemberReport report = known.report;
@@ -251,19 +262,47 @@
 		}
 	}
 
+	// Most peers have heard a report that is older than this from somebody else.
+	private boolean isNews(Entry entry, PeerRecord record) {
+		return entry.reportChange > record.confirmed && this.lastTick - entry.reportAt < NEWS_NANOS;
+	}
+
 	private void put(MemberReport report, long now) {
 		Entry known = this.entries.get(report.member().name());
 		this.change++;
 		if (known == null || !known.report.isSameRun(report)) {
 			Entry entry = new Entry(report, this.change, now);
 			if (known != null) {
-				this.byKey.remove(known.key, known);
+				forgetKeys(known);
 			}
 			this.entries.put(report.member().name(), entry);
 			this.byKey.put(entry.key, entry);
 			return;
 		}
-		known.update(report, this.change, now);
+		update(known, report, now);
+	}
+
+	// A peer may send heartbeats under the key before the last change. They are
+	// recognised,
+	// so that nothing is asked for that is older than what is known.
+	private void update(Entry known, MemberReport report, long now) {
+		int key = key(report);
+		if (key != known.key) {
+			this.byKey.remove(known.previousKey, known);
+			known.previousKey = known.key;
+			known.key = key;
+			known.reportChange = this.change;
+			known.reportAt = now;
+			this.byKey.put(key, known);
+		}
+		known.report = report;
+		known.beatChange = this.change;
+		known.heardAt = now;
+	}
+
+	private void forgetKeys(Entry entry) {
+		this.byKey.remove(entry.key, entry);
+		this.byKey.remove(entry.previousKey, entry);
 	}
 
 	private void removeSilent(long now) {
@@ -274,7 +313,7 @@
 		for (Entry entry : silent) {
 			Member member = entry.report.member();
 			this.entries.remove(member.name());
-			this.byKey.remove(entry.key, entry);
+			forgetKeys(entry);
 			this.peers.remove(member.name());
 			this.removed.put(member.name(), entry);
 		}
@@ -300,6 +339,8 @@
 
 		private long confirmed;
 
+		private final Set<Integer> requested = new HashSet<>();
+
 	}
 
 	/**
@@ -314,7 +355,9 @@
 	/** One member, and when it changed. */
 	private static final class Entry {
 
-		private final int key;
+		private int key;
+
+		private int previousKey;
 
 		private MemberReport report;
 
@@ -322,26 +365,20 @@
 
 		private long beatChange;
 
+		private long reportAt;
+
 		private long heardAt;
 
 		Entry(MemberReport report, long change, long now) {
-			this.key = key(report.member());
+			this.key = key(report);
+			this.previousKey = this.key;
+			this.reportAt = now;
 			this.report = report;
 			this.reportChange = change;
 			this.beatChange = change;
 			this.heardAt = now;
 		}
 
-		void update(MemberReport next, long change, long now) {
-			boolean sameContent = next.phase() == this.report.phase()
-					&& next.configVersion() == this.report.configVersion()
-					&& Objects.equals(next.member(), this.report.member());
-			this.report = next;
-			this.beatChange = change;
-			this.reportChange = sameContent ? this.reportChange : change;
-			this.heardAt = now;
-		}
-
 	}
 
 }
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MembershipDelta.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/MembershipDelta.java
@@ -14,17 +14,18 @@
 import org.comfreyslip.coordination.membership.MemberReport.Phase;
 
 /**
- * What changed at the sender since its last exchange with the receiver. Runs whose report
- * the receiver has are sent as heartbeats of a few bytes.
+ * What changed at the sender since its last exchange with the receiver. Reports that
+ * changed a while ago are sent as heartbeats of a few bytes; the receiver asks for the
+ * reports of keys that it does not know.
  *
  * @param from name of the sender
- * @param wantsAll whether the sender could not match a heartbeat and needs full reports
+ * @param wanted keys of heartbeats that the sender could not match and needs reports of
  * @param reports full reports of runs that are new to the receiver or changed otherwise
  * @param beats heartbeats of the other runs that changed
  * @param usage use of client accounts on the sender
  * @param notices news about endpoints
  */
-public record MembershipDelta(String from, boolean wantsAll, List<MemberReport> reports, List<MemberBeat> beats,
+public record MembershipDelta(String from, List<Integer> wanted, List<MemberReport> reports, List<MemberBeat> beats,
 		List<AccountUsage> usage, List<EndpointNotice> notices) {
 
 	private static final int VARINT_BITS = 7;
@@ -34,13 +35,14 @@
 	/**
 	 * Creates a difference.
 	 * @param from the sender
-	 * @param wantsAll whether the sender needs full reports
+	 * @param wanted keys of the reports that the sender needs
 	 * @param reports full reports
 	 * @param beats heartbeats
 	 * @param usage use of accounts
 	 * @param notices news about endpoints
 	 */
 	public MembershipDelta {
+		wanted = List.copyOf(wanted);
 		reports = List.copyOf(reports);
 		beats = List.copyOf(beats);
 		usage = List.copyOf(usage);
@@ -54,7 +56,7 @@
 	public byte[] encode() {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		writeText(out, this.from);
-		writeNumber(out, this.wantsAll ? 1 : 0);
+		writeList(out, this.wanted, MembershipDelta::writeKey);
 		writeList(out, this.reports, MembershipDelta::writeReport);
 		writeList(out, this.beats, MembershipDelta::writeBeat);
 		writeList(out, this.usage, MembershipDelta::writeUsage);
@@ -72,8 +74,8 @@
 		ByteBuffer in = ByteBuffer.wrap(bytes);
 		try {
 			String from = readText(in);
-			boolean wantsAll = readNumber(in) == 1;
-			return new MembershipDelta(from, wantsAll, readList(in, MembershipDelta::readReport),
+			List<Integer> wanted = readList(in, ByteBuffer::getInt);
+			return new MembershipDelta(from, wanted, readList(in, MembershipDelta::readReport),
 					readList(in, MembershipDelta::readBeat),
 					readList(in, (buffer) -> new AccountUsage(readText(buffer), (int) readNumber(buffer))),
 					readList(in, MembershipDelta::readNotice));
@@ -101,10 +103,14 @@
 	}
 
 	private static void writeBeat(ByteArrayOutputStream out, MemberBeat beat) {
-		out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(beat.key()).array());
+		writeKey(out, beat.key());
 		writeNumber(out, beat.heartbeat());
 	}
 
+	private static void writeKey(ByteArrayOutputStream out, int key) {
+		out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(key).array());
+	}
+
 	private static MemberBeat readBeat(ByteBuffer in) {
 		return new MemberBeat(in.getInt(), readNumber(in));
 	}
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/membership/MemberTableTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/membership/MemberTableTests.java
@@ -40,7 +40,7 @@
 		for (int second = 1; second <= 61; second++) {
 			this.a.tick(second * SECOND, 0);
 		}
-		this.a.merge(new MembershipDelta("c", false, List.of(this.b.self()), old.beats(), List.of(), List.of()),
+		this.a.merge(new MembershipDelta("c", List.of(), List.of(this.b.self()), old.beats(), List.of(), List.of()),
 				61 * SECOND);
 		assertThat(this.a.state("b", 61 * SECOND)).isEqualTo(MemberState.REMOVED);
 	}
@@ -86,6 +86,19 @@
 		assertThatExceptionOfType(CodedException.class).isThrownBy(() -> this.b.announce(Phase.RUNNING, SECOND));
 	}
 
+	@Test
+	void aMissedChangeIsAskedFor() {
+		exchange(this.b, this.a, 0);
+		this.b.announce(Phase.DRAINING, SECOND);
+		this.b.tick(4 * SECOND, 0);
+		this.b.tick(8 * SECOND, 0);
+		assertThat(this.b.deltaFor("a", List.of()).reports()).isEmpty();
+		exchange(this.b, this.a, 8 * SECOND);
+		exchange(this.a, this.b, 8 * SECOND);
+		exchange(this.b, this.a, 8 * SECOND);
+		assertThat(this.a.state("b", 8 * SECOND)).isEqualTo(MemberState.DRAINING);
+	}
+
 	@Test
 	void aRestartWithAnEarlierClockOutlivesItsPredecessor() {
 		MemberTable old = new MemberTable(member("b", 100), 0);
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/MembershipSlope.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/MembershipSlope.java
@@ -78,7 +78,7 @@
 	private void introduce() {
 		for (Daemon daemon : this.daemons.values()) {
 			for (Daemon other : this.daemons.values()) {
-				daemon.table.merge(new MembershipDelta("start", false, List.of(other.table.self()), List.of(),
+				daemon.table.merge(new MembershipDelta("start", List.of(), List.of(other.table.self()), List.of(),
 						List.of(), List.of()), 0);
 			}
 		}
