--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -49,7 +49,8 @@
 			.setIoThreads(IO_THREADS)
 			.setWorkerThreads(IO_THREADS)
 			.setMaxRequestSize(MAX_REQUEST_BYTES)
-			// Jooby writes bodies above the buffer size to a file, and hosts have no disks.
+			// Jooby writes bodies above the buffer size to a file, and hosts have no
+			// disks.
 			.setBufferSize(MAX_REQUEST_BYTES)
 			.setDefaultHeaders(false);
 		options.setHost(listen.substring(0, colon));
