--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
@@ -196,6 +196,7 @@
 			throw new CodedException(ErrorCode.INVARIANT_VIOLATED,
 					"a step was due after the caller was told 'not run'");
 		}
+		this.context.metrics().stepSent();
 		long now = now();
 		try {
 			this.context.calls()
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerMetrics.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerMetrics.java
@@ -11,6 +11,8 @@
  */
 public final class AnswerMetrics {
 
+	private final Counter stepsSent;
+
 	private final Counter stagesLost;
 
 	private final Counter acceptedPasses;
@@ -28,6 +30,7 @@
 	 * @param registry the registry
 	 */
 	public AnswerMetrics(MeterRegistry registry) {
+		this.stepsSent = registry.counter("comfreyslip.steps.sent");
 		this.stagesLost = registry.counter("comfreyslip.stages.lost");
 		this.acceptedPasses = registry.counter("comfreyslip.passes.accepted");
 		this.rebuildPasses = registry.counter("comfreyslip.passes.rebuild");
@@ -36,6 +39,10 @@
 		this.recovery = Timer.builder("comfreyslip.recovery").publishPercentiles(0.5, 0.95, 0.99).register(registry);
 	}
 
+	void stepSent() {
+		this.stepsSent.increment();
+	}
+
 	void stageLost() {
 		this.stagesLost.increment();
 	}
