Mark looked-up results as replayed, also after an own call

A look-up finds results by key, so it cannot tell attempts apart. Done.earlier becomes Done.replayed and is true for every result that was not received on the attempt's own connection.

--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimResult.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimResult.java
@@ -11,9 +11,10 @@
 	 * The call was executed.
 	 *
 	 * @param response the result
-	 * @param earlier whether the result is not from this attempt's own call
+	 * @param replayed whether the result comes from the log or from a look-up, and so
+	 * possibly from another attempt, instead of being the response to this attempt's call
 	 */
-	record Done(RecordedResponse response, boolean earlier) implements ClaimResult {
+	record Done(RecordedResponse response, boolean replayed) implements ClaimResult {
 	}
 
 	/**
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
@@ -242,7 +242,9 @@
 		List<ClaimAction> actions = new ArrayList<>();
 		actions.add(append(outcome(this.lookupClaim.nonce(), true, response)));
 		if (!this.answered) {
-			actions.add(answer(new ClaimResult.Done(response, !this.won)));
+			// Even after an own call the result may be that of another attempt: the call
+			// may have been lost and its claim released after another look-up.
+			actions.add(answer(new ClaimResult.Done(response, true)));
 		}
 		return actions;
 	}
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
@@ -131,6 +131,16 @@
 		assertThat(result(on(new ClaimEvent.LookupNotFound()))).isInstanceOf(ClaimResult.Unknown.class);
 	}
 
+	// The own call may have been lost, its claim released, and the key executed by
+	// another attempt.
+	@Test
+	void aLookedUpResultIsNotTakenForTheResponseToTheOwnCall() {
+		win();
+		this.call.tryStart(0);
+		on(new ClaimEvent.CallFailed(true, ErrorCode.ENDPOINT_FAILED, "reset"));
+		assertThat(result(on(new ClaimEvent.LookupFound(RESPONSE)))).isEqualTo(new ClaimResult.Done(RESPONSE, true));
+	}
+
 	@Test
 	void aStartedCallIsNeverReportedAsNotRun() {
 		win();
