Let contenders read late in the randomised lease runs

With reads in the same step as appends, the runs did not notice a deadline that counts from the reading of an accepted request instead of its sending.

--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/FakeLog.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/FakeLog.java
@@ -173,6 +173,9 @@
 		/** A process lost its state. */
 		RESTART,
 
+		/** A process got no answers to its reads for a while. */
+		SLOW_READ,
+
 		/** A process stood still. */
 		PAUSE,
 
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/lease/LeaseRandomTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/lease/LeaseRandomTests.java
@@ -120,6 +120,10 @@
 			else if (dice < 975) {
 				contender.resign();
 			}
+			else if (dice < 985) {
+				this.log.count(Fault.SLOW_READ);
+				contender.lagUntil = this.now + this.random.nextInt(1500);
+			}
 		}
 
 		private void onRecord(LeaseRecord record) {
@@ -158,6 +162,8 @@
 
 			private long pausedUntil;
 
+			private long lagUntil;
+
 			Contender(String name) {
 				this.name = name;
 				this.holder = new LeaseHolder(NAME, name, TIMING, () -> "n" + Run.this.nonce++, Run.this.now);
@@ -172,7 +178,9 @@
 					return;
 				}
 				this.holder.next(Run.this.now).ifPresent(this::append);
-				read();
+				if (Run.this.now >= this.lagUntil) {
+					read();
+				}
 				if (isValid()) {
 					Run.this.orders.add(this.holder.fence(Run.this.now));
 				}
