Wait for the outcome of an attempt that is under way; bound the step timeout

A request that was repeated at another daemon within about 100 ms was answered as unknown although the first attempt had succeeded, because its outcome was still on the way to the log (seen in WholePathTests). ProtectedCall now looks the key up first and, if nothing is found while the other attempt may still send, waits up to 1 s for its record before a last look-up. Ruled out: a wait before the first look-up, which would delay the answer after a crash.

An engine without measured step times had a step timeout of 10 s, so a hang was not noticed in time. The step timeout is now at most 3 s.

--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimAction.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimAction.java
@@ -47,6 +47,16 @@
 	record LookUp(ClaimKey key) implements ClaimAction {
 	}
 
+	/**
+	 * Wait for the outcome of another attempt and report
+	 * {@link ClaimEvent.OutcomeWaitEnded}. Records that are read meanwhile are reported
+	 * as usual.
+	 *
+	 * @param millis how long to wait, in milliseconds
+	 */
+	record AwaitOutcome(long millis) implements ClaimAction {
+	}
+
 	/**
 	 * Respond to the caller. There is exactly one such action per call.
 	 *
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimEvent.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimEvent.java
@@ -73,6 +73,10 @@
 	record LookupFailed() implements ClaimEvent {
 	}
 
+	/** The time of {@link ClaimAction.AwaitOutcome} is over. */
+	record OutcomeWaitEnded() implements ClaimEvent {
+	}
+
 	/** The caller's deadline passed. */
 	record DeadlinePassed() implements ClaimEvent {
 	}
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
@@ -21,7 +21,7 @@
 
 	private enum State {
 
-		NEW, CLAIMING, SENDING, LOOKING_UP, FINISHED
+		NEW, CLAIMING, SENDING, LOOKING_UP, AWAITING_OUTCOME, FINISHED
 
 	}
 
@@ -29,6 +29,12 @@
 
 	private static final long NO_RETRY_MILLIS = -1;
 
+	/**
+	 * How long an attempt waits for the outcome of another one that is still under way.
+	 * An outcome is in the log about 100 ms after the service responded.
+	 */
+	private static final long OUTCOME_WAIT_MILLIS = 1000;
+
 	private final ProtectedRequest request;
 
 	private final IdempotencyKeyPolicy policy;
@@ -48,6 +54,8 @@
 	// The claim that a look-up is about, and when the look-up was asked for.
 	private ClaimRecord.Claim lookupClaim;
 
+	private boolean waited;
+
 	private long lookupEpochMillis;
 
 	/**
@@ -94,6 +102,9 @@
 		if (event instanceof ClaimEvent.DeadlinePassed) {
 			return onDeadlinePassed();
 		}
+		if (event instanceof ClaimEvent.OutcomeWaitEnded) {
+			return onOutcomeWaitEnded(nowEpochMillis);
+		}
 		return onLookup(event, nowEpochMillis);
 	}
 
@@ -158,6 +169,9 @@
 	}
 
 	private List<ClaimAction> onRecordsRead(ClaimView view, long nowNanos, long nowEpochMillis) {
+		if (this.state == State.AWAITING_OUTCOME) {
+			return onRecordsWhileAwaiting(view);
+		}
 		if (this.state != State.CLAIMING) {
 			return List.of();
 		}
@@ -199,12 +213,11 @@
 	}
 
 	private List<ClaimAction> lookUpOrUnknown(ClaimRecord.Claim claim, long nowEpochMillis) {
+		this.lookupClaim = claim;
 		if (!this.request.canLookUp()) {
-			this.state = State.FINISHED;
-			return answerUnknown();
+			return awaitOrUnknown(nowEpochMillis);
 		}
 		this.state = State.LOOKING_UP;
-		this.lookupClaim = claim;
 		this.lookupEpochMillis = nowEpochMillis;
 		return List.of(new ClaimAction.LookUp(this.request.key()));
 	}
@@ -244,7 +257,37 @@
 		if (event instanceof ClaimEvent.LookupNotFound && cannotRunAnyMore()) {
 			return releaseLookedUp();
 		}
-		return answerUnknown();
+		return awaitOrUnknown(nowEpochMillis);
+	}
+
+	// Another attempt that may still send its call is likely to record an outcome soon.
+	private List<ClaimAction> awaitOrUnknown(long nowEpochMillis) {
+		boolean underWay = !this.won && nowEpochMillis <= this.lookupClaim.sendByEpochMillis();
+		if (!underWay || this.waited || this.answered) {
+			this.state = State.FINISHED;
+			return answerUnknown();
+		}
+		this.waited = true;
+		this.state = State.AWAITING_OUTCOME;
+		return List.of(new ClaimAction.AwaitOutcome(OUTCOME_WAIT_MILLIS));
+	}
+
+	private List<ClaimAction> onOutcomeWaitEnded(long nowEpochMillis) {
+		if (this.state != State.AWAITING_OUTCOME) {
+			return List.of();
+		}
+		return lookUpOrUnknown(this.lookupClaim, nowEpochMillis);
+	}
+
+	private List<ClaimAction> onRecordsWhileAwaiting(ClaimView view) {
+		if (!view.complete() || view.isWonBy(this.lookupClaim.nonce()) && view.status() == ClaimStatus.CLAIMED) {
+			return List.of();
+		}
+		if (view.status() == ClaimStatus.DONE) {
+			this.state = State.FINISHED;
+			return List.of(answer(new ClaimResult.Done(view.outcome().response(), true)));
+		}
+		return refuse(ErrorCode.OVERLOADED, "another attempt with this key gave up", RETRY_AFTER_MILLIS);
 	}
 
 	private List<ClaimAction> onFound(RecordedResponse response) {
@@ -284,6 +327,10 @@
 		if (this.state == State.LOOKING_UP) {
 			return answerUnknown();
 		}
+		if (this.state == State.AWAITING_OUTCOME) {
+			this.state = State.FINISHED;
+			return answerUnknown();
+		}
 		CodedException error = this.boundary.failure(ErrorCode.DEADLINE_EXCEEDED,
 				"the deadline passed before the service responded", NO_RETRY_MILLIS);
 		if (!error.isNotRun()) {
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunDaemon.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunDaemon.java
@@ -95,6 +95,10 @@
 		else if (action instanceof ClaimAction.LookUp) {
 			this.run.after(this.run.delay(), this, () -> lookUp(request));
 		}
+		else if (action instanceof ClaimAction.AwaitOutcome await) {
+			this.run.count("outcome awaited");
+			this.run.after(await.millis(), this, () -> on(request.nonce(), new ClaimEvent.OutcomeWaitEnded()));
+		}
 		else if (action instanceof ClaimAction.Answer answer) {
 			this.results.put(request.nonce(), answer.result());
 			this.run.service.answered(request, answer.result());
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
@@ -191,6 +191,42 @@
 		assertThat(actions).hasSize(1);
 	}
 
+	// A caller that repeats its request at another daemon would otherwise be told
+	// "unknown" while the outcome is on its way to the log.
+	@Test
+	void anOutcomeThatIsRecordedMeanwhileIsReturned() {
+		awaitOutcomeOf("other");
+		ClaimRecord.Outcome outcome = new ClaimRecord.Outcome(this.key, "other", false, RESPONSE);
+		ClaimView done = new ClaimView(ClaimStatus.DONE, true, claim("other"), outcome, false, false);
+		assertThat(on(new ClaimEvent.RecordsRead(claimed(claim("other"))))).isEmpty();
+		assertThat(result(on(new ClaimEvent.RecordsRead(done)))).isEqualTo(new ClaimResult.Done(RESPONSE, true));
+		assertThat(on(new ClaimEvent.OutcomeWaitEnded())).isEmpty();
+	}
+
+	@Test
+	void anAttemptThatGaveUpMeanwhileLetsTheCallerTryAgain() {
+		awaitOutcomeOf("other");
+		assertNotRun(on(new ClaimEvent.RecordsRead(FREE)), ErrorCode.OVERLOADED);
+	}
+
+	@Test
+	void aWaitWithoutOutcomeIsFollowedByOneMoreLookUpAndThenUnknown() {
+		awaitOutcomeOf("other");
+		assertThat(on(new ClaimEvent.OutcomeWaitEnded())).containsExactly(new ClaimAction.LookUp(this.key));
+		assertThat(result(on(new ClaimEvent.LookupNotFound()))).isInstanceOf(ClaimResult.Unknown.class);
+	}
+
+	@Test
+	void aDeadlineDuringTheWaitIsUnknownBecauseTheOtherAttemptMayHaveRun() {
+		awaitOutcomeOf("other");
+		assertThat(result(on(new ClaimEvent.DeadlinePassed()))).isInstanceOf(ClaimResult.Unknown.class);
+	}
+
+	private void awaitOutcomeOf(String nonce) {
+		on(new ClaimEvent.Started(claimed(claim(nonce))));
+		assertThat(on(new ClaimEvent.LookupNotFound())).containsExactly(new ClaimAction.AwaitOutcome(1000));
+	}
+
 	@Test
 	void aLookUpThatWasSentAfterSendByPlusMarginReleasesAnUnexecutedClaim() {
 		this.call.on(new ClaimEvent.Started(claimed(claim("other"))), 0, SEND_BY + MARGIN + 1);
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
@@ -147,6 +147,12 @@
 			this.entry.note("looking the key up at the service");
 			lookUp();
 		}
+		else if (action instanceof ClaimAction.AwaitOutcome await) {
+			this.entry.note("waiting for the outcome of another attempt");
+			this.context.timer()
+				.schedule(() -> onServiceEvent(new ClaimEvent.OutcomeWaitEnded()), await.millis(),
+						TimeUnit.MILLISECONDS);
+		}
 		else if (action instanceof ClaimAction.Answer answer) {
 			answer(answer.result());
 		}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -126,7 +126,7 @@
 	private static void answer(Context context, OpenRequest request, ClaimResult result) {
 		if (result instanceof ClaimResult.Done done) {
 			request.close("done with status " + done.response().status());
-			recorded(context, done.response(), done.earlier());
+			recorded(context, done.response(), done.replayed());
 		}
 		else if (result instanceof ClaimResult.NotRun notRun) {
 			request.close("not run: " + notRun.error().code());
@@ -139,8 +139,8 @@
 		}
 	}
 
-	private static void recorded(Context context, RecordedResponse response, boolean earlier) {
-		if (earlier) {
+	private static void recorded(Context context, RecordedResponse response, boolean replayed) {
+		if (replayed) {
 			context.setResponseHeader("Idempotency-Replayed", "true");
 		}
 		context.setResponseCode(response.status());
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
@@ -41,6 +41,12 @@
 	 */
 	static final long MIN_STEP_TIMEOUT_NANOS = 1_000_000_000L;
 
+	/**
+	 * Longest step timeout in nanoseconds. It also applies to engines without measured
+	 * steps; a caller that waits longer than this for one token has given up.
+	 */
+	static final long MAX_STEP_TIMEOUT_NANOS = 3_000_000_000L;
+
 	private final String dataCentre;
 
 	private final RandomGenerator random;
@@ -171,11 +177,12 @@
 	 * @return the longest limit of the engines, in ns
 	 */
 	public synchronized long stepTimeout(Collection<String> names) {
-		return names.stream()
+		long longest = names.stream()
 			.map(this.endpoints::find)
 			.flatMap(Optional::stream)
 			.mapToLong((entry) -> entry.health().timing().timeoutNanos(1))
 			.reduce(MIN_STEP_TIMEOUT_NANOS, Math::max);
+		return Math.min(longest, MAX_STEP_TIMEOUT_NANOS);
 	}
 
 	/**
