--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -7,10 +7,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigVersion;
@@ -41,9 +42,9 @@
 
 	private static final int LIMIT_MILLIS = 5_000;
 
-	private final Map<String, JavaProcess> processes = new LinkedHashMap<>();
+	private final Map<String, JavaProcess> processes = new ConcurrentHashMap<>();
 
-	private final Map<String, String> addresses = new LinkedHashMap<>();
+	private final Map<String, String> addresses = new ConcurrentHashMap<>();
 
 	private final List<String> daemons = new ArrayList<>();
 
@@ -63,19 +64,25 @@
 	 * @return this deployment
 	 */
 	Deployment start(int daemonCount) {
-		startStandin("log", "log");
-		startStandin("hosts", "hosts", "--lag-millis", "200");
-		startStandin("weights", "weights");
-		startStandin("archive-1", "service", "--service-millis", "5");
-		startStandin("archive-2", "service", "--service-millis", "5");
+		List<Runnable> starts = new ArrayList<>();
+		starts.add(() -> startStandin("log", "log"));
+		starts.add(() -> startStandin("hosts", "hosts", "--lag-millis", "200"));
+		starts.add(() -> startStandin("weights", "weights"));
+		starts.add(() -> startStandin("archive-1", "service", "--service-millis", "5"));
+		starts.add(() -> startStandin("archive-2", "service", "--service-millis", "5"));
 		for (String range : List.of("0-4", "4-8", "8-12")) {
 			for (String kind : List.of("fast", "slow")) {
-				startEngine(engineName(range, kind), range, kind);
+				starts.add(() -> startEngine(engineName(range, kind), range, kind));
 			}
 		}
+		inParallel(starts);
+		List<Runnable> daemonStarts = new ArrayList<>();
 		for (int i = 1; i <= daemonCount; i++) {
-			startDaemon("daemon-" + i);
+			String name = "daemon-" + i;
+			assignPorts(name);
+			daemonStarts.add(() -> startDaemon(name));
 		}
+		inParallel(daemonStarts);
 		propose(text());
 		awaitReady();
 		return this;
@@ -112,7 +119,15 @@
 	 * @param millis how long it lasts
 	 */
 	void fault(String name, String mode, long millis) {
-		Map<String, Object> order = Map.of("mode", mode, "forMillis", millis, "probability", 1.0, "delayMillis", 0);
+		fault(name, Map.of("mode", mode, "forMillis", millis, "probability", 1.0, "delayMillis", 0));
+	}
+
+	/**
+	 * Switches a fault of a stand-in on.
+	 * @param name the stand-in
+	 * @param order the fault as in {@code docs/stand-ins.md}
+	 */
+	void fault(String name, Map<String, Object> order) {
 		HttpReply reply = this.http.send(HttpCall.post(address(name), "/faults", order)).join();
 		if (!reply.isSuccess()) {
 			throw new IllegalStateException("fault refused: " + new String(reply.body()));
@@ -135,12 +150,7 @@
 	}
 
 	void startDaemon(String name) {
-		if (!this.daemons.contains(name)) {
-			this.daemons.add(name);
-			this.addresses.put(name, IP + ":" + freePort());
-			this.addresses.put(name + "/admin", IP + ":" + freePort());
-			this.addresses.put(name + "/grpc", IP + ":" + freePort());
-		}
+		assignPorts(name);
 		Path file = this.directory.resolve(name + ".ini");
 		try {
 			Files.writeString(file, settings(name));
@@ -153,6 +163,19 @@
 		this.processes.put(name, process);
 	}
 
+	private void assignPorts(String name) {
+		if (!this.daemons.contains(name)) {
+			this.daemons.add(name);
+			this.addresses.put(name, IP + ":" + freePort());
+			this.addresses.put(name + "/admin", IP + ":" + freePort());
+			this.addresses.put(name + "/grpc", IP + ":" + freePort());
+		}
+	}
+
+	private static void inParallel(List<Runnable> tasks) {
+		tasks.stream().map(CompletableFuture::runAsync).toList().forEach(CompletableFuture::join);
+	}
+
 	/**
 	 * Proposes a text on top of the version that this deployment proposed last.
 	 * @param text the text
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -105,7 +105,7 @@
 		EngineClients engines = new EngineClients(this.http, this.tables);
 		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal, engines));
 		this.adminServer = new AdminServer(self.adminListen(), new AdminServer.Parts(self.name(), this.holder,
-				this.drain, this::startDrain, this.tables, journal, this.registry, this.clock));
+				this.claims::isStarted, this.drain, this::startDrain, this.tables, journal, this.registry, this.clock));
 		startFollowing(engines);
 		DaemonEvent.STARTED.log(self.name(), self.httpListen(), self.adminListen());
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -86,7 +87,8 @@
 	}
 
 	private Context ready(Context context) {
-		boolean ready = this.parts.holder().isReady() && this.parts.drain().phase().isReady();
+		boolean ready = this.parts.holder().isReady() && this.parts.claimsRead().getAsBoolean()
+				&& this.parts.drain().phase().isReady();
 		return json(context, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
 	}
 
@@ -144,6 +146,7 @@
 	 *
 	 * @param daemon the daemon's name
 	 * @param holder the configuration in force
+	 * @param claimsRead whether the claim streams have been read once
 	 * @param drain the shutdown state
 	 * @param drainer starts the shutdown
 	 * @param tables the endpoint table
@@ -151,8 +154,9 @@
 	 * @param registry the metrics
 	 * @param clock the monotonic clock, in ns
 	 */
-	public record Parts(String daemon, ConfigHolder holder, DrainController drain, Runnable drainer,
-			RoutingTables tables, RequestJournal journal, PrometheusMeterRegistry registry, LongSupplier clock) {
+	public record Parts(String daemon, ConfigHolder holder, BooleanSupplier claimsRead, DrainController drain,
+			Runnable drainer, RoutingTables tables, RequestJournal journal, PrometheusMeterRegistry registry,
+			LongSupplier clock) {
 	}
 
 	/**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
@@ -56,6 +56,9 @@
 
 	private final boolean[] available = new boolean[ClaimPartition.COUNT];
 
+	/** Streams whose first read has ended, with records or with a failure. */
+	private final boolean[] asked = new boolean[ClaimPartition.COUNT];
+
 	private final ScheduledExecutorService timer;
 
 	private final Executor workers;
@@ -168,31 +171,49 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the first read of every stream has ended. A daemon without the log
+	 * serves models, so a failed read counts.
+	 * @return {@code false} while the daemon starts
+	 */
+	public synchronized boolean isStarted() {
+		for (boolean streamAsked : this.asked) {
+			if (!streamAsked) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private void readNext(int partition) {
 		if (this.stopped) {
 			return;
 		}
 		long from;
+		long wait;
 		synchronized (this) {
 			from = this.folds[partition].nextOffset();
+			// The first read must not wait for a record: until it has ended, no claim on
+			// the stream can be answered.
+			wait = (this.asked[partition]) ? POLL_MILLIS : 0;
 		}
-		this.log.read(ClaimPartition.streamName(partition), from, PAGE_RECORDS, POLL_MILLIS)
-			.whenComplete((page, ex) -> {
-				if (ex == null) {
-					onPage(partition, page);
-					readNext(partition);
-				}
-				else {
-					onUnavailable(partition, ex);
-					this.timer.schedule(() -> readNext(partition), RETRY_MILLIS, TimeUnit.MILLISECONDS);
-				}
-			});
+		this.log.read(ClaimPartition.streamName(partition), from, PAGE_RECORDS, wait).whenComplete((page, ex) -> {
+			if (ex == null) {
+				onPage(partition, page);
+				readNext(partition);
+			}
+			else {
+				onUnavailable(partition, ex);
+				this.timer.schedule(() -> readNext(partition), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
 	}
 
 	private void onPage(int partition, LogPage page) {
 		List<ClaimAttempt> affected = new ArrayList<>();
 		synchronized (this) {
 			this.available[partition] = true;
+			this.asked[partition] = true;
 			ClaimFold fold = this.folds[partition];
 			fold.observe(page.head(), page.tail(), this.epochClock.getAsLong());
 			for (LogRecord entry : page.records()) {
@@ -219,6 +240,7 @@
 	}
 
 	private synchronized void onUnavailable(int partition, Throwable ex) {
+		this.asked[partition] = true;
 		if (this.available[partition]) {
 			DaemonEvent.CLAIM_LOG_UNAVAILABLE.log(ClaimPartition.streamName(partition), ex.getMessage());
 			this.available[partition] = false;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
@@ -97,7 +97,8 @@
 			return;
 		}
 		long from = nextOffset();
-		this.log.read(STREAM, from, PAGE_RECORDS, POLL_MILLIS).whenComplete((page, ex) -> {
+		long wait = isFollowing() ? POLL_MILLIS : 0;
+		this.log.read(STREAM, from, PAGE_RECORDS, wait).whenComplete((page, ex) -> {
 			if (ex != null) {
 				onUnavailable(ex);
 				return;
