Finish shutdown: records flushed, callers told, last bytes sent

A graceful shutdown waits until the last claim records are in the log, since an outcome that is missing there has to be looked up at the service. A second signal ends open streams with an error event and settles protected calls as not run or unknown. A request counts as ended only after its response was written; before, the process could end between the two.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -56,6 +56,12 @@
 
 	private static final long DRAIN_CHECK_MILLIS = 50;
 
+	/** Time for the last bytes of the last responses to leave. */
+	private static final long FLUSH_MIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+	/** How long the end of the process waits for the last records to reach the log. */
+	private static final long FLUSH_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final DaemonSettings settings;
 
 	private final LongSupplier clock = System::nanoTime;
@@ -78,10 +84,15 @@
 
 	private final ClaimLog claims;
 
+	private final AnswerService answers;
+
 	private final CallerServer callerServer;
 
 	private final AdminServer adminServer;
 
+	/** Read and written by the drain check only, which runs on one thread at a time. */
+	private volatile long drainEndedAt;
+
 	private final CountDownLatch ended = new CountDownLatch(1);
 
 	/**
@@ -103,7 +114,9 @@
 				(peer) -> CompletableFuture.completedFuture(Optional.empty()), this.timer);
 		RequestJournal journal = new RequestJournal(JOURNAL_REQUESTS);
 		EngineClients engines = new EngineClients(this.http, this.tables);
-		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal, engines));
+		this.answers = new AnswerService(this.tables, engines, this.timer, new AnswerMetrics(this.registry),
+				this.clock);
+		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal));
 		this.adminServer = new AdminServer(self.adminListen(), new AdminServer.Parts(self.name(), this.holder,
 				this.claims::isStarted, this.drain, this::startDrain, this.tables, journal, this.registry, this.clock));
 		startFollowing(engines);
@@ -137,14 +150,12 @@
 		this.http.close();
 	}
 
-	private CallerServer.Parts callerParts(IdempotencyKeyPolicy policy, RequestJournal journal, EngineClients engines) {
-		AnswerService answers = new AnswerService(this.tables, engines, this.timer, new AnswerMetrics(this.registry),
-				this.clock);
+	private CallerServer.Parts callerParts(IdempotencyKeyPolicy policy, RequestJournal journal) {
 		ProtectedCallService protectedCalls = new ProtectedCallService(this.settings.daemon().name(), this.claims,
 				policy, this.tables, this.http, this.timer, new ClaimMetrics(this.registry), this.clock,
 				System::currentTimeMillis);
 		return new CallerServer.Parts(this.holder, this.drain, new Admission(new Random()), this.tables, journal,
-				answers, protectedCalls, this.http, this.workers, new Random(), this.clock);
+				this.answers, protectedCalls, this.http, this.workers, new Random(), this.clock);
 	}
 
 	private void startFollowing(EngineClients engines) {
@@ -158,9 +169,19 @@
 	}
 
 	private void checkDrain() {
-		boolean over = this.drain.onTime(this.clock.getAsLong()) == DrainPhase.ENDED;
-		if (over && this.ended.getCount() > 0) {
+		if (this.drain.onTime(this.clock.getAsLong()) != DrainPhase.ENDED || this.ended.getCount() == 0) {
+			return;
+		}
+		if (this.drainEndedAt == 0) {
+			this.drainEndedAt = this.clock.getAsLong();
 			DaemonEvent.DRAIN_ENDED.log(this.drain.openRequests());
+			this.answers.abortAll();
+			this.claims.abortAll();
+		}
+		// Outcomes that are not in the log yet would have to be looked up at the service.
+		long elapsed = this.clock.getAsLong() - this.drainEndedAt;
+		boolean flushed = this.claims.isFlushed() && elapsed >= FLUSH_MIN_NANOS;
+		if (flushed || elapsed >= FLUSH_LIMIT_NANOS) {
 			this.ended.countDown();
 		}
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
@@ -55,6 +56,8 @@
 
 	private final RequestEntry entry;
 
+	private final Consumer<AnswerDriver> onEnd;
+
 	private final Deque<PipelineAction> actions = new ArrayDeque<>();
 
 	private boolean performing;
@@ -64,7 +67,7 @@
 	private long timerAt = Long.MAX_VALUE;
 
 	AnswerDriver(AnswerRequest request, AnswerContext context, PipelineRun run, PlanRequest plan, long stepLimit,
-			AnswerStages stages, AnswerSink sink, RequestEntry entry) {
+			AnswerStages stages, AnswerSink sink, RequestEntry entry, Consumer<AnswerDriver> onEnd) {
 		this.request = request;
 		this.context = context;
 		this.run = run;
@@ -74,6 +77,7 @@
 		this.stages = stages;
 		this.sink = sink;
 		this.entry = entry;
+		this.onEnd = onEnd;
 	}
 
 	synchronized void start() {
@@ -83,7 +87,19 @@
 	synchronized void callerGone() {
 		this.entry.note("the caller left");
 		perform(this.run.onCallerGone());
-		this.stages.releaseAll();
+		end();
+	}
+
+	/**
+	 * Ends the answer with an error because the process ends.
+	 */
+	synchronized void abort() {
+		if (this.run.isDone()) {
+			return;
+		}
+		perform(this.run.onCallerGone());
+		end();
+		this.sink.fail(this.request.boundary().failure(ErrorCode.DRAINING, "the daemon was stopped", 0));
 	}
 
 	private synchronized void onTimer() {
@@ -237,6 +253,7 @@
 	}
 
 	private void end() {
+		this.onEnd.accept(this);
 		this.stages.releaseAll();
 		this.context.metrics().passes(this.run.acceptedPasses(), this.run.rebuildPasses(), this.run.droppedAnswers());
 		if (this.timer != null) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerService.java
@@ -1,7 +1,9 @@
 package org.comfreyslip.daemon.answer;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
 
@@ -40,6 +42,8 @@
 
 	private final AnswerContext context;
 
+	private final Set<AnswerDriver> running = ConcurrentHashMap.newKeySet();
+
 	/**
 	 * Creates the service.
 	 * @param tables endpoint table and planner
@@ -68,6 +72,7 @@
 					throw Failures.coded(ex, ErrorCode.ENDPOINT_FAILED);
 				}
 				AnswerDriver driver = plan(request, tokens, sink, entry);
+				this.running.add(driver);
 				handle.attach(driver::callerGone);
 				driver.start();
 			}
@@ -78,6 +83,13 @@
 		return handle;
 	}
 
+	/**
+	 * Ends all answers with an error, because the process ends now.
+	 */
+	public void abortAll() {
+		List.copyOf(this.running).forEach(AnswerDriver::abort);
+	}
+
 	private static CodedException refusal(AnswerRequest request, CodedException failure) {
 		return failure.isNotRun() ? failure
 				: request.boundary().failure(failure.code(), failure.getMessage(), RETRY_AFTER_MILLIS);
@@ -114,7 +126,7 @@
 		List<Integer> prompt = java.util.Arrays.stream(tokens).boxed().toList();
 		PipelineRun run = new PipelineRun(request.id(), request.model().layers(), planned, prompt, limits);
 		long callLimit = stepLimit + TIMEOUT_PER_POSITION_NANOS * (tokens.length + request.maxTokens());
-		return new AnswerDriver(request, this.context, run, plan, callLimit, stages, sink, entry);
+		return new AnswerDriver(request, this.context, run, plan, callLimit, stages, sink, entry, this.running::remove);
 	}
 
 	private List<PipelineStage> occupyPlan(AnswerRequest request, PlanRequest plan, AnswerStages stages,
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimAttempt.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimAttempt.java
@@ -21,4 +21,9 @@
 	 */
 	void onAppendRefused();
 
+	/**
+	 * The process ends now.
+	 */
+	void onShutdown();
+
 }
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
@@ -110,6 +110,18 @@
 		this.stopped = true;
 	}
 
+	/**
+	 * Answers all attempts because the process ends: those that were not sent as not run,
+	 * the others as unknown.
+	 */
+	public void abortAll() {
+		List<ClaimAttempt> open;
+		synchronized (this) {
+			open = List.copyOf(this.attempts.values());
+		}
+		open.forEach(ClaimAttempt::onShutdown);
+	}
+
 	/**
 	 * Registers an attempt for the records of its key's stream.
 	 * @param nonce the attempt's nonce
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
@@ -98,6 +98,11 @@
 		on(new ClaimEvent.AppendRefused());
 	}
 
+	@Override
+	public void onShutdown() {
+		onDeadline();
+	}
+
 	private synchronized void onDeadline() {
 		on(new ClaimEvent.DeadlinePassed());
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
@@ -59,19 +59,20 @@
 	public void finish(FinishReason reason) {
 		write(PlatformJson.write(chunk(null, reason)));
 		write(DONE);
-		this.request.close("answered with " + this.tokens + " tokens");
 		this.sender.close();
+		this.request.close("answered with " + this.tokens + " tokens");
 	}
 
 	@Override
 	public void fail(CodedException error) {
-		this.request.close("failed after " + this.tokens + " tokens: " + error.code());
 		if (this.sender == null) {
 			Replies.error(this.context, error, this.request.id());
-			return;
 		}
-		write(PlatformJson.write(ErrorReply.of(error, this.request.id())));
-		this.sender.close();
+		else {
+			write(PlatformJson.write(ErrorReply.of(error, this.request.id())));
+			this.sender.close();
+		}
+		this.request.close("failed after " + this.tokens + " tokens: " + error.code());
 	}
 
 	private CompletionStyle.Completion chunk(String text, FinishReason reason) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
@@ -43,15 +43,15 @@
 
 	@Override
 	public void finish(FinishReason reason) {
-		this.request.close("answered with " + this.tokens + " tokens");
 		Replies.json(this.context, OK, this.style.completion(this.request.id(), this.created, this.model,
 				this.style.whole(this.text.toString(), reason), new CompletionStyle.Usage(this.tokens)));
+		this.request.close("answered with " + this.tokens + " tokens");
 	}
 
 	@Override
 	public void fail(CodedException error) {
-		this.request.close("failed: " + error.code());
 		Replies.error(this.context, error, this.request.id());
+		this.request.close("failed: " + error.code());
 	}
 
 }
