--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
@@ -57,6 +57,7 @@
 
 	@Override
 	public void finish(FinishReason reason) {
+		this.request.record("answered with " + this.tokens + " tokens");
 		write(PlatformJson.write(chunk(null, reason)));
 		write(DONE);
 		this.sender.close();
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
@@ -43,6 +43,7 @@
 
 	@Override
 	public void finish(FinishReason reason) {
+		this.request.record("answered with " + this.tokens + " tokens");
 		Replies.json(this.context, OK, this.style.completion(this.request.id(), this.created, this.model,
 				this.style.whole(this.text.toString(), reason), new CompletionStyle.Usage(this.tokens)));
 		this.request.close("answered with " + this.tokens + " tokens");
@@ -50,6 +51,7 @@
 
 	@Override
 	public void fail(CodedException error) {
+		this.request.record("failed: " + error.code());
 		Replies.error(this.context, error, this.request.id());
 		this.request.close("failed: " + error.code());
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/OpenRequest.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/OpenRequest.java
@@ -22,6 +22,15 @@
 record OpenRequest(String id, AccountSpec account, ConfigInForce config, long deadline, CallBoundary boundary,
 		RequestEntry entry, AtomicBoolean closed, Runnable onClose) {
 
+	/**
+	 * Records the outcome before the response is sent, so that a caller who asks for an
+	 * explanation finds it.
+	 * @param outcome the outcome for the request's record
+	 */
+	void record(String outcome) {
+		this.entry.end(outcome, System.currentTimeMillis());
+	}
+
 	/**
 	 * Ends the request. Repeating it has no further effect.
 	 * @param outcome the outcome for the request's record
