Let the operators' command use the shared configuration classes

The command folded and encoded the configuration stream with classes of its own, so its records differed from those that daemons read. It now uses ConfigFold, ConfigBootstrap, ConfigProposalAttempt, ConfigRecordCodec and LogClient.

ConfigProposalAttempt appends the same record again after a lost response.

An inconsistent proposal is skipped by the shared fold. history still lists it as refused, with the reason, but it no longer decides its id.

--base accepts NUMBER:DIGEST-PREFIX, because a number alone does not tell two logs apart. LogClient names the log and the status in a refusal, which operators see.

--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ConfigEntry.java
+++ /dev/null
@@ -1,8 +0,0 @@
-package org.comfreyslip.operator;
-
-/**
- * A record of the configuration stream.
- */
-sealed interface ConfigEntry permits ProposalEntry, CheckpointEntry {
-
-}
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/DiffSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/DiffSubcommand.java
@@ -31,7 +31,7 @@
 	public ExitCode run(Invocation invocation) {
 		String file = invocation.arguments(1).get(0);
 		String text = TextFile.read(file, invocation.console());
-		ConfigHistory history = new ConfigHistoryReader(invocation.log()).read(-1);
+		ConfigHistory history = invocation.log().read(-1);
 		List<TextChange> changes = TextDiff.between(history.text(), text);
 		invocation.console().note("compared with version " + history.number());
 		invocation.result(new Result(history.number(), changes), changes.stream().map(TextChange::toString).toList());
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HashCredentialSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HashCredentialSubcommand.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.comfreyslip.coordination.digest.Sha256;
+
 /**
  * Computes the digest of a key. The key is read from the standard input, because
  * arguments are visible to other users of the host.
@@ -42,7 +44,7 @@
 			throw new UsageException(
 					"give one key without blanks, of at most " + MAX_KEY_BYTES + " bytes, on the standard input");
 		}
-		invocation.result(Map.of("sha256", Sha256.hex(key)), List.of(Sha256.hex(key)));
+		invocation.result(Map.of("sha256", Sha256.ofText(key)), List.of(Sha256.ofText(key)));
 		return ExitCode.OK;
 	}
 
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HistorySubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HistorySubcommand.java
@@ -30,14 +30,14 @@
 	@Override
 	public ExitCode run(Invocation invocation) {
 		invocation.arguments(0);
-		List<ProposalDecision> decisions = new ConfigHistoryReader(invocation.log()).read(-1).decisions();
+		List<ProposalDecision> decisions = invocation.log().read(-1).decisions();
 		invocation.result(decisions, decisions.stream().map(HistorySubcommand::line).toList());
 		return ExitCode.OK;
 	}
 
 	private static String line(ProposalDecision decision) {
-		String outcome = decision.accepted() ? "accepted as version " + decision.number()
-				: "refused, version " + decision.number() + " was in force";
+		String outcome = decision.accepted() ? "accepted as version " + decision.number() : "refused, version "
+				+ decision.number() + " was in force" + (decision.skipped() ? ", the record is inconsistent" : "");
 		return "offset " + decision.offset() + "  " + outcome + "  by " + decision.author() + "  id " + decision.id();
 	}
 
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ImpactSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ImpactSubcommand.java
@@ -39,7 +39,7 @@
 	@Override
 	public ExitCode run(Invocation invocation) {
 		String service = invocation.arguments(1).get(0);
-		ConfigHistory history = new ConfigHistoryReader(invocation.log()).read(-1);
+		ConfigHistory history = invocation.log().read(-1);
 		if (history.number() == 0) {
 			throw new CodedException(ErrorCode.NOT_FOUND, "no configuration was accepted yet");
 		}
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
@@ -5,11 +5,16 @@
 import java.util.Optional;
 
 import org.apache.commons.cli.CommandLine;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.log.LogClient;
 
 /**
  * One run of a subcommand: its arguments, connections and output.
  */
-public final class Invocation {
+public final class Invocation implements AutoCloseable {
+
+	/** Time limit of a call to the log, long enough for texts of 4 MB on a slow link. */
+	private static final int LOG_LIMIT_MILLIS = 15_000;
 
 	private final CommandLine line;
 
@@ -19,6 +24,8 @@
 
 	private final HttpJsonClient http = new HttpJsonClient();
 
+	private final PlatformHttp platform = new PlatformHttp();
+
 	/**
 	 * Creates an invocation.
 	 * @param line the arguments after the subcommand's name
@@ -139,10 +146,17 @@
 	 * Returns the configuration stream of the log that the options name.
 	 * @return the stream
 	 */
-	ConfigStream log() {
+	ConfigHistoryReader log() {
 		String address = option(CommonOptions.LOG)
 			.orElseThrow(() -> new UsageException("name the log service with --log ADDRESS"));
-		return new HttpConfigStream(this.http, CommonOptions.address(CommonOptions.LOG, address));
+		LogClient client = new LogClient(this.platform, CommonOptions.address(CommonOptions.LOG, address),
+				LOG_LIMIT_MILLIS);
+		return new ConfigHistoryReader(client);
+	}
+
+	@Override
+	public void close() {
+		this.platform.close();
 	}
 
 }
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/OperatorCommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/OperatorCommand.java
@@ -75,7 +75,9 @@
 			UsageText.of(subcommand).forEach(this.console.out()::println);
 			return ExitCode.OK;
 		}
-		return subcommand.run(new Invocation(line, this.console, this.ticker));
+		try (Invocation invocation = new Invocation(line, this.console, this.ticker)) {
+			return subcommand.run(invocation);
+		}
 	}
 
 	private ExitCode failed(boolean json, ExitCode exitCode, String message) {
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposalDecision.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposalDecision.java
@@ -7,8 +7,10 @@
  * @param author its author
  * @param offset its offset
  * @param accepted whether it became a version
+ * @param skipped whether the record was passed over because its content is inconsistent
  * @param number its version number if accepted, else the number then in force
  * @param digest digest of its text
  */
-record ProposalDecision(String id, String author, long offset, boolean accepted, long number, String digest) {
+record ProposalDecision(String id, String author, long offset, boolean accepted, boolean skipped, long number,
+		String digest) {
 }
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposalSettler.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposalSettler.java
@@ -2,9 +2,12 @@
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.config.ConfigProposalAttempt;
+import org.comfreyslip.coordination.config.ConfigProposalAttempt.Action;
+import org.comfreyslip.coordination.config.ConfigRecord.Proposal;
 
 /**
- * Reads the log until it decides a proposal.
+ * Appends a proposal and reads the log until it decides the proposal.
  */
 final class ProposalSettler {
 
@@ -17,42 +20,91 @@
 
 	private final ConfigHistoryReader reader;
 
-	private final Ticker ticker;
+	private final Invocation invocation;
 
-	ProposalSettler(ConfigHistoryReader reader, Ticker ticker) {
+	private boolean mayBeInLog;
+
+	private String problem = "the log does not hold it";
+
+	/**
+	 * Creates a settler of one proposal.
+	 * @param reader the configuration stream
+	 * @param invocation time and output
+	 * @param appendedBefore whether an earlier run may have appended the proposal
+	 */
+	ProposalSettler(ConfigHistoryReader reader, Invocation invocation, boolean appendedBefore) {
 		this.reader = reader;
-		this.ticker = ticker;
+		this.invocation = invocation;
+		this.mayBeInLog = appendedBefore;
 	}
 
 	/**
-	 * Reads until the history holds a decision.
-	 * @param id the proposal's id
-	 * @param base the base version's number
+	 * Appends and reads until the history holds a decision.
+	 * @param proposal the proposal
 	 * @param history the history to extend
 	 * @throws CodedException with code {@code OUTCOME_UNKNOWN} if the log shows no
-	 * decision in time
+	 * decision in time, {@code LOG_UNAVAILABLE} if the log refused the proposal
 	 */
-	void settle(String id, long base, ConfigHistory history) {
-		long deadline = this.ticker.nowNanos() + SETTLE_MILLIS * NANOS_PER_MILLI;
-		String problem = "the log does not hold it";
-		while (true) {
-			try {
-				this.reader.readOn(history);
-				if (history.findDecision(id).isPresent()) {
-					return;
-				}
+	void settle(Proposal proposal, ConfigHistory history) {
+		ConfigProposalAttempt attempt = new ConfigProposalAttempt(proposal, now(), SETTLE_MILLIS * NANOS_PER_MILLI);
+		for (Action action = attempt.next(now()); action != Action.STOP; action = attempt.next(now())) {
+			if (action == Action.APPEND) {
+				append(attempt);
 			}
-			catch (CodedException ex) {
-				problem = ex.getMessage();
+			else {
+				read(attempt, history);
 			}
-			if (this.ticker.nowNanos() >= deadline) {
-				throw new CodedException(ErrorCode.OUTCOME_UNKNOWN,
-						"the outcome of proposal " + id + " is unknown (" + problem
-								+ "); run propose again with --base " + base + " --id " + id
-								+ ", which cannot be accepted twice");
+		}
+		if (attempt.outcome().orElseThrow() instanceof ConfigProposalAttempt.StillUnknown) {
+			throw new CodedException(ErrorCode.OUTCOME_UNKNOWN,
+					"the outcome of proposal " + proposal.id() + " is unknown (" + this.problem
+							+ "); run propose again with the same file and author and --base "
+							+ proposal.base().number() + " --id " + proposal.id() + ", which cannot be accepted twice");
+		}
+	}
+
+	private void append(ConfigProposalAttempt attempt) {
+		try {
+			this.reader.append(attempt.proposal());
+			attempt.onAppended();
+		}
+		catch (CodedException ex) {
+			if (ex.code() == ErrorCode.OUTCOME_UNKNOWN) {
+				noteLoss(ex);
 			}
-			this.ticker.sleepMillis(POLL_MILLIS);
+			if (!this.mayBeInLog) {
+				throw new CodedException(ErrorCode.LOG_UNAVAILABLE, ex.getMessage(), ex);
+			}
+			// A refusal says nothing about an earlier append of the same record.
+			attempt.onAnswerLost(now());
 		}
 	}
 
+	private void noteLoss(CodedException ex) {
+		if (!this.mayBeInLog) {
+			this.invocation.console()
+				.note("unknown whether the log took the proposal; reading the log: " + ex.getMessage());
+		}
+		this.mayBeInLog = true;
+	}
+
+	private void read(ConfigProposalAttempt attempt, ConfigHistory history) {
+		try {
+			this.reader.readOn(history, attempt::onVerdict);
+		}
+		catch (CodedException ex) {
+			if (ex.code() != ErrorCode.LOG_UNAVAILABLE) {
+				throw ex;
+			}
+			this.problem = ex.getMessage();
+		}
+		if (attempt.outcome().isEmpty()) {
+			this.invocation.ticker().sleepMillis(POLL_MILLIS);
+		}
+	}
+
+	private long now() {
+		return this.invocation.ticker().nowNanos();
+	}
+
 }
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposeSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ProposeSubcommand.java
@@ -1,12 +1,13 @@
 package org.comfreyslip.operator;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.regex.Pattern;
 
 import org.apache.commons.cli.Options;
-import org.comfreyslip.coordination.CodedException;
-import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.config.ConfigRecord.Proposal;
+import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.settings.OperatorText;
 
 /**
@@ -46,7 +47,7 @@
 	public Options options() {
 		return new Options()
 			.addOption(CommonOptions.withValue(BASE, "VERSION",
-					"number of the version that FILE was made from; 0 for the first text"))
+					"version that FILE was made from, as NUMBER or NUMBER:DIGEST-PREFIX; 0 for the first text"))
 			.addOption(CommonOptions.withValue(AUTHOR, "NAME", "the operator's name; default: the system's user name"))
 			.addOption(CommonOptions.withValue(ID, "ID",
 					"id of an earlier proposal with unknown outcome, which is settled instead of proposed twice"));
@@ -55,14 +56,14 @@
 	@Override
 	public ExitCode run(Invocation invocation) {
 		String file = invocation.arguments(1).get(0);
-		long base = invocation.number(BASE)
+		BaseVersion base = invocation.option(BASE)
+			.map((value) -> BaseVersion.parse(BASE, value))
 			.orElseThrow(() -> new UsageException("state the version that the file was made from with --base VERSION"));
 		String text = TextFile.read(file, invocation.console());
 		OperatorText.parse(file, text);
-		new FormatSupport(invocation).check(invocation.daemons());
-		String id = invocation.option(ID).orElseGet(() -> UUID.randomUUID().toString());
 		String author = author(invocation);
-		return propose(invocation, base, new ProposalEntry(id, base, "", author, text, Sha256.hex(text)));
+		new FormatSupport(invocation).check(invocation.daemons());
+		return propose(invocation, base, author, text);
 	}
 
 	private static String author(Invocation invocation) {
@@ -74,49 +75,53 @@
 		return author;
 	}
 
-	private ExitCode propose(Invocation invocation, long base, ProposalEntry draft) {
-		ConfigStream stream = invocation.log();
-		ConfigHistoryReader reader = new ConfigHistoryReader(stream);
+	private ExitCode propose(Invocation invocation, BaseVersion base, String author, String text) {
+		ConfigHistoryReader reader = invocation.log();
 		ConfigHistory history = reader.read(-1);
-		if (history.findDecision(draft.id()).isPresent()) {
-			return report(invocation, draft.id(), base, history);
-		}
-		if (history.number() != base) {
-			return refused(invocation, draft.id(), base, history);
+		Optional<String> earlier = invocation.option(ID);
+		if (earlier.flatMap(history::findDecision).isPresent()) {
+			return report(invocation, earlier.get(), base, history);
 		}
-		ProposalEntry proposal = new ProposalEntry(draft.id(), base, history.digest(), draft.author(), draft.text(),
-				draft.digest());
-		try {
-			stream.append(ConfigEntryCodec.encode(proposal));
+		base.requireDigest(history.version());
+		if (history.number() != base.number()) {
+			return refused(invocation, earlier.orElse(""), base, history);
 		}
-		catch (CodedException ex) {
-			if (ex.code() != ErrorCode.OUTCOME_UNKNOWN) {
-				throw ex;
-			}
-			invocation.console().note("unknown whether the log took the proposal; reading the log: " + ex.getMessage());
+		Proposal proposal = proposal(earlier, history.version(), author, text);
+		new ProposalSettler(reader, invocation, earlier.isPresent()).settle(proposal, history);
+		return report(invocation, proposal.id(), base, history);
+	}
+
+	private static Proposal proposal(Optional<String> earlier, ConfigVersion base, String author, String text) {
+		String nonce = earlier.map((id) -> id.replaceFirst("-.*", ""))
+			.orElseGet(() -> UUID.randomUUID().toString().replace("-", ""));
+		Proposal proposal = Proposal.create(nonce, base, author, text);
+		if (earlier.isPresent() && !proposal.id().equals(earlier.get())) {
+			throw new UsageException("--" + ID + ": " + earlier.get()
+					+ " is the id of another proposal; give the same file, base and author as before");
 		}
-		new ProposalSettler(reader, invocation.ticker()).settle(draft.id(), base, history);
-		return report(invocation, draft.id(), base, history);
+		return proposal;
 	}
 
-	private static ExitCode report(Invocation invocation, String id, long base, ConfigHistory history) {
-		ProposalDecision decision = history.findDecision(id).orElseThrow();
-		if (!decision.accepted()) {
+	private static ExitCode report(Invocation invocation, String id, BaseVersion base, ConfigHistory history) {
+		Optional<ProposalDecision> found = history.findDecision(id);
+		if (found.isEmpty() || !found.get().accepted()) {
 			return refused(invocation, id, base, history);
 		}
+		ProposalDecision decision = found.get();
 		invocation.result(new Result("accepted", id, decision.offset(), decision.number(), ""),
 				List.of("accepted at offset " + decision.offset() + " as version " + decision.number()));
 		return ExitCode.OK;
 	}
 
-	private static ExitCode refused(Invocation invocation, String id, long base, ConfigHistory history) {
-		String winner = history.findVersion(base + 1)
+	private static ExitCode refused(Invocation invocation, String id, BaseVersion base, ConfigHistory history) {
+		String winner = history.findVersion(base.number() + 1)
 			.map((decision) -> "version " + decision.number() + " by " + decision.author() + " at offset "
 					+ decision.offset())
-			.orElse("version " + history.number() + " at offset " + history.offset());
-		invocation.result(new Result("refused", id, history.offset(), history.number(), winner),
+			.orElse("version " + history.number() + " at offset " + history.version().offset());
+		invocation.result(new Result("refused", id, history.version().offset(), history.number(), winner),
 				List.of("refused; won by " + winner + "; in force is version " + history.number()
-						+ "; apply the change to it and propose again with --base " + history.number()));
+						+ "; apply the change to it and propose again with --base "
+						+ BaseVersion.print(history.version())));
 		return ExitCode.REFUSED;
 	}
 
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ShowSubcommand.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ShowSubcommand.java
@@ -4,6 +4,7 @@
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.coordination.digest.Sha256;
 
 /**
  * Prints an accepted text.
@@ -34,7 +35,7 @@
 	public ExitCode run(Invocation invocation) {
 		List<String> arguments = invocation.arguments(0, 1);
 		long wanted = arguments.isEmpty() ? -1 : Invocation.toNumber("VERSION", arguments.get(0));
-		ConfigHistory history = new ConfigHistoryReader(invocation.log()).read(wanted);
+		ConfigHistory history = invocation.log().read(wanted);
 		long number = arguments.isEmpty() ? history.number() : wanted;
 		if (number == 0 || history.number() < number) {
 			throw new CodedException(ErrorCode.NOT_FOUND,
@@ -42,8 +43,9 @@
 		}
 		String text = arguments.isEmpty() ? history.text() : history.keptText()
 			.orElseThrow(() -> new CodedException(ErrorCode.NOT_FOUND, "the log no longer holds version " + number));
-		invocation.console().note("version " + number + " sha256 " + Sha256.hex(text));
-		invocation.result(new Result(number, Sha256.hex(text), text), List.of(withoutLastLineEnd(text)));
+		String digest = Sha256.ofText(text);
+		invocation.console().note("version " + BaseVersion.print(number, digest) + " sha256 " + digest);
+		invocation.result(new Result(number, digest, text), List.of(withoutLastLineEnd(text)));
 		return ExitCode.OK;
 	}
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
+++ b/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
@@ -77,14 +77,15 @@
 		if (reply.isSuccess()) {
 			return offsetOf(reply);
 		}
-		String found = "append answered with status " + reply.status();
+		String found = "log " + this.address + " refused the record with status " + reply.status();
 		if (reply.status() == TOO_MANY_REQUESTS || reply.status() == UNAVAILABLE) {
 			throw new CodedException(ErrorCode.LOG_UNAVAILABLE, found);
 		}
 		if (reply.status() < FIRST_SERVER_ERROR) {
 			throw new CodedException(ErrorCode.BAD_REQUEST, found);
 		}
-		throw new CodedException(ErrorCode.OUTCOME_UNKNOWN, found);
+		throw new CodedException(ErrorCode.OUTCOME_UNKNOWN,
+				"log " + this.address + " responded to an append with status " + reply.status());
 	}
 
 	private static long offsetOf(HttpReply reply) {
