Make the daemon's admin interface return what the operators' command reads

The status had other member names than the command expects, so status and wait could not work against a daemon. The status now reports the version in use, not the accepted one: a text that a daemon cannot apply must not count as in force. GET /admin/config and GET /admin/impact/{service} are new. The configuration needs an operator's key, because it lists accounts and addresses.

AdminServer keeps the routes; AdminReports collects the typed records.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -1,25 +1,23 @@
 package org.comfreyslip.daemon.admin;
 
-import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
+import io.jooby.Route;
 import io.jooby.ServerOptions;
 import io.jooby.netty.NettyServer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.daemon.DrainController;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestJournal;
-import org.comfreyslip.daemon.journal.RequestRecord;
-import org.comfreyslip.daemon.route.EndpointStatus;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.platform.ErrorBody;
 import org.comfreyslip.platform.PlatformJson;
@@ -41,6 +39,8 @@
 
 	private final Parts parts;
 
+	private final AdminReports reports;
+
 	/**
 	 * Creates and starts the server.
 	 * @param listen where to listen, as ip:port
@@ -48,6 +48,7 @@
 	 */
 	public AdminServer(String listen, Parts parts) {
 		this.parts = parts;
+		this.reports = new AdminReports(parts);
 		int colon = listen.lastIndexOf(':');
 		ServerOptions options = new ServerOptions().setPort(Integer.parseInt(listen.substring(colon + 1)))
 			.setIoThreads(1)
@@ -76,46 +77,44 @@
 			context.setResponseHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
 			return context.send(this.parts.registry().scrape());
 		});
-		route("GET", "/admin/status", this::status);
-		route("GET", "/admin/explain/{request}", this::explain);
-		route("POST", "/admin/drain", this::drain);
+		report("GET", "/admin/status", (context) -> this.reports.status());
+		report("GET", "/admin/explain/{request}", (context) -> this.reports.explain(context.path("request").value()));
+		report("GET", "/admin/impact/{service}", (context) -> this.reports.impact(context.path("service").value()));
+		report("GET", "/admin/config", this::config);
+		report("POST", "/admin/drain", this::drain);
+	}
+
+	private void report(String method, String pattern, Function<Context, Object> handler) {
+		route(method, pattern, (context) -> {
+			try {
+				return json(context, OK, handler.apply(context));
+			}
+			catch (CodedException ex) {
+				return json(context, ex.code().httpStatus(), new ErrorBody(ex.code().name(), ex.getMessage()));
+			}
+		});
 	}
 
-	private void route(String method, String pattern, io.jooby.Route.Handler handler) {
+	private void route(String method, String pattern, Route.Handler handler) {
 		this.app.route(method, pattern, handler).setReturnType(Context.class);
 	}
 
 	private Context ready(Context context) {
-		boolean ready = this.parts.holder().isReady() && this.parts.drain().phase().isReady();
+		boolean ready = this.reports.isReady();
 		return json(context, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
 	}
 
-	private Context status(Context context) {
-		ConfigVersion version = this.parts.holder().accepted().version();
-		return json(context, OK,
-				new Status(this.parts.daemon(), version.number(), version.offset(), version.digest(),
-						this.parts.holder().isReady(), this.parts.drain().phase().name(),
-						this.parts.drain().openRequests(), this.parts.tables().status(this.parts.clock().getAsLong())));
+	// The text lists accounts and addresses, which callers that reach the port need not
+	// know.
+	private AdminConfig config(Context context) {
+		requireOperator(context);
+		return this.reports.config();
 	}
 
-	private Context explain(Context context) {
-		String id = context.path("request").value();
-		return this.parts.journal()
-			.find(id)
-			.map((found) -> json(context, OK, new Explanation(this.parts.daemon(), found)))
-			.orElseGet(() -> error(context, ErrorCode.NOT_FOUND,
-					"request " + id + " is not in the record of daemon " + this.parts.daemon()));
-	}
-
-	private Context drain(Context context) {
-		try {
-			requireOperator(context);
-			this.parts.drainer().run();
-			return json(context, OK, Map.of("phase", this.parts.drain().phase().name()));
-		}
-		catch (CodedException ex) {
-			return error(context, ex.code(), ex.getMessage());
-		}
+	private Map<String, String> drain(Context context) {
+		requireOperator(context);
+		this.parts.drainer().run();
+		return Map.of("state", this.reports.state());
 	}
 
 	private void requireOperator(Context context) {
@@ -129,10 +128,6 @@
 		config.findOperator(header.substring(BEARER.length()).trim()).orElseThrow(refusal);
 	}
 
-	private static Context error(Context context, ErrorCode code, String message) {
-		return json(context, code.httpStatus(), new ErrorBody(code.name(), message));
-	}
-
 	private static Context json(Context context, int status, Object message) {
 		context.setResponseCode(status);
 		context.setResponseHeader("Content-Type", "application/json");
@@ -155,29 +150,4 @@
 			RoutingTables tables, RequestJournal journal, PrometheusMeterRegistry registry, LongSupplier clock) {
 	}
 
-	/**
-	 * State of the daemon.
-	 *
-	 * @param daemon the daemon's name
-	 * @param configVersion the accepted configuration version
-	 * @param configOffset its log offset
-	 * @param configDigest the digest of its text
-	 * @param ready whether the accepted configuration is the one in use
-	 * @param phase the phase of the shutdown
-	 * @param openRequests the open requests
-	 * @param endpoints the state of all endpoints
-	 */
-	private record Status(String daemon, long configVersion, long configOffset, String configDigest, boolean ready,
-			String phase, int openRequests, List<EndpointStatus> endpoints) {
-	}
-
-	/**
-	 * Where a request's record was found.
-	 *
-	 * @param daemon the daemon's name
-	 * @param request the record
-	 */
-	private record Explanation(String daemon, RequestRecord request) {
-	}
-
 }
