Call daemons through the shared HTTP client in the operators' command

The command had a second OkHttp client with its own limits and reply type, which only the daemon calls still used. A refusal by a daemon now shows its message.

--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
@@ -1,32 +1,42 @@
 package org.comfreyslip.operator;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import okhttp3.HttpUrl;
-import okhttp3.Request;
-import okhttp3.RequestBody;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.platform.CallFailedException;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Calls to a daemon over HTTP.
  */
 final class HttpDaemonApi implements DaemonApi {
 
+	/** Time limit of a call, long enough for a long status on a slow link. */
+	private static final int LIMIT_MILLIS = 15_000;
+
 	private static final int UNAUTHORIZED = 401;
 
 	private static final int FORBIDDEN = 403;
 
 	private static final int NOT_FOUND = 404;
 
-	private final HttpJsonClient http;
+	private final PlatformHttp http;
 
 	private final String address;
 
 	private final Optional<String> key;
 
-	HttpDaemonApi(HttpJsonClient http, String address, Optional<String> key) {
+	HttpDaemonApi(PlatformHttp http, String address, Optional<String> key) {
 		this.http = http;
 		this.address = address;
 		this.key = key;
@@ -39,13 +49,12 @@
 
 	@Override
 	public DaemonStatus status() {
-		HttpReply reply = send(request("status").get().build());
-		return DaemonStatus.from(document(successful(reply)));
+		return DaemonStatus.from(document(successful(send("GET", "status"))));
 	}
 
 	@Override
 	public Optional<JsonNode> explain(String request) {
-		HttpReply reply = send(request("explain", request).get().build());
+		HttpReply reply = send("GET", "explain", request);
 		if (reply.status() == NOT_FOUND) {
 			return Optional.empty();
 		}
@@ -54,21 +63,34 @@
 
 	@Override
 	public void drain() {
-		successful(send(request("drain").post(RequestBody.create(new byte[0])).build()));
+		successful(send("POST", "drain"));
+	}
+
+	private HttpReply send(String method, String... segments) {
+		List<HttpHeader> headers = this.key.map((value) -> List.of(new HttpHeader("Authorization", "Bearer " + value)))
+			.orElse(List.of());
+		HttpCall call = new HttpCall(this.address, method, path(segments), headers, null, LIMIT_MILLIS, LIMIT_MILLIS,
+				() -> true);
+		try {
+			return this.http.send(call).join();
+		}
+		catch (CompletionException ex) {
+			throw failure(ex);
+		}
 	}
 
-	private Request.Builder request(String... segments) {
+	private CodedException failure(CompletionException ex) {
+		boolean reached = !(ex.getCause() instanceof CallFailedException failed) || failed.mayHaveBeenSent();
+		return new CodedException(ErrorCode.ENDPOINT_FAILED, peer()
+				+ (reached ? " gave no complete response: " : " cannot be reached: ") + ex.getCause().getMessage(), ex);
+	}
+
+	private String path(String... segments) {
 		HttpUrl.Builder url = HttpUrl.get("http://" + this.address).newBuilder().addPathSegment("admin");
 		for (String segment : segments) {
 			url.addPathSegment(segment);
 		}
-		Request.Builder request = new Request.Builder().url(url.build());
-		this.key.ifPresent((value) -> request.header("Authorization", "Bearer " + value));
-		return request;
-	}
-
-	private HttpReply send(Request request) {
-		return this.http.send(request, peer(), ErrorCode.ENDPOINT_FAILED, ErrorCode.ENDPOINT_FAILED);
+		return url.build().encodedPath();
 	}
 
 	private HttpReply successful(HttpReply reply) {
@@ -77,13 +99,19 @@
 					peer() + " refused the operator's key; give one of an [operator] with --key-file");
 		}
 		if (!reply.isSuccess()) {
-			throw new CodedException(ErrorCode.ENDPOINT_FAILED, peer() + " responded with status " + reply.status());
+			throw new CodedException(ErrorCode.ENDPOINT_FAILED, peer() + " responded with status " + reply.status()
+					+ ": " + new String(reply.body(), StandardCharsets.UTF_8));
 		}
 		return reply;
 	}
 
 	private JsonNode document(HttpReply reply) {
-		return this.http.json(reply, peer(), ErrorCode.ENDPOINT_FAILED);
+		try {
+			return PlatformJson.read(reply.body(), JsonNode.class);
+		}
+		catch (CodedException ex) {
+			throw new CodedException(ErrorCode.ENDPOINT_FAILED, peer() + " gave a response that is not JSON", ex);
+		}
 	}
 
 	private String peer() {
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
@@ -22,8 +22,6 @@
 
 	private final Ticker ticker;
 
-	private final HttpJsonClient http = new HttpJsonClient();
-
 	private final PlatformHttp platform = new PlatformHttp();
 
 	/**
@@ -116,7 +114,7 @@
 		}
 		Optional<String> key = option(CommonOptions.KEY_FILE).map(this::readKey);
 		return Arrays.stream(addresses)
-			.map((address) -> (DaemonApi) new HttpDaemonApi(this.http,
+			.map((address) -> (DaemonApi) new HttpDaemonApi(this.platform,
 					CommonOptions.address(CommonOptions.DAEMON, address), key))
 			.toList();
 	}
