--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/ConfigReaderSelection.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/membership/ConfigReaderSelection.java
@@ -14,7 +14,7 @@
 	private static final int READERS_PER_DATA_CENTRE = 2;
 
 	/** Up to this size every daemon reads the log. */
-	private static final int SMALL_DEPLOYMENT = 8;
+	private static final int SMALL_DEPLOYMENT = 16;
 
 	private static final String TASK = "config-reader";
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -1,10 +1,7 @@
 package org.comfreyslip.daemon;
 
-import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -16,19 +13,27 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.comfreyslip.coordination.audit.AuditChain;
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
+import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.coordination.drain.DrainPhase;
+import org.comfreyslip.coordination.membership.EndpointNotice;
 import org.comfreyslip.daemon.admin.AdminServer;
 import org.comfreyslip.daemon.answer.AnswerMetrics;
 import org.comfreyslip.daemon.answer.AnswerService;
+import org.comfreyslip.daemon.audit.AuditLog;
+import org.comfreyslip.daemon.audit.AuditTrail;
 import org.comfreyslip.daemon.claim.ClaimLog;
 import org.comfreyslip.daemon.claim.ClaimMetrics;
 import org.comfreyslip.daemon.claim.ProtectedCallService;
+import org.comfreyslip.daemon.config.ConfigCheckpointer;
 import org.comfreyslip.daemon.config.ConfigFollower;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.http.Admission;
 import org.comfreyslip.daemon.http.CallerServer;
 import org.comfreyslip.daemon.journal.RequestJournal;
+import org.comfreyslip.daemon.order.MaintenanceLease;
+import org.comfreyslip.daemon.peer.PeerNode;
 import org.comfreyslip.daemon.route.EngineClients;
 import org.comfreyslip.daemon.route.LoadProber;
 import org.comfreyslip.daemon.route.RoutingTables;
@@ -45,8 +50,9 @@
 
 	private static final int PLATFORM_LIMIT_MILLIS = 2_000;
 
-	/** Retention that the platform's log has to keep, in ms. */
-	private static final long LOG_RETENTION_MILLIS = TimeUnit.HOURS.toMillis(3);
+	private static final long REFUSAL_SECONDS = 60;
+
+	private static final long STOP_MILLIS = 500;
 
 	private static final int JOURNAL_REQUESTS = 10_000;
 
@@ -74,6 +80,18 @@
 
 	private final DrainController drain;
 
+	private final Admission admission = new Admission(new Random());
+
+	private final PeerNode peers;
+
+	private final AuditLog auditLog;
+
+	private final AuditTrail audit;
+
+	private final MaintenanceLease lease;
+
+	private final ConfigCheckpointer checkpointer;
+
 	private final ConfigFollower follower;
 
 	private final ClaimLog claims;
@@ -95,17 +113,25 @@
 		this.drain = new DrainController(TimeUnit.MILLISECONDS.toNanos(self.balancerLagMillis()),
 				TimeUnit.MILLISECONDS.toNanos(self.drainDeadlineMillis()));
 		LogClient log = new LogClient(this.http, settings.platform().log(), PLATFORM_LIMIT_MILLIS);
-		IdempotencyKeyPolicy policy = IdempotencyKeyPolicy.withDefaults(LOG_RETENTION_MILLIS);
-		this.claims = new ClaimLog(log, self.name() + "/" + UUID.randomUUID(), policy, this.timer, this.workers,
-				this.clock, System::currentTimeMillis);
+		IdempotencyKeyPolicy policy = RetentionRules.keyPolicy(settings.platform().logRetentionMillis());
+		String run = self.name() + "/" + UUID.randomUUID();
+		this.claims = new ClaimLog(log, run, policy, this.timer, this.workers, this.clock, System::currentTimeMillis);
 		this.holder.addListener((config) -> this.tables.apply(config, this.clock.getAsLong()));
-		this.follower = new ConfigFollower(log, this.holder, Set.copyOf(self.peers()),
-				(peer) -> CompletableFuture.completedFuture(Optional.empty()), this.timer);
 		RequestJournal journal = new RequestJournal(JOURNAL_REQUESTS);
+		this.peers = new PeerNode(self, new PeerNode.Parts(this.holder, this::onNewerConfig, journal, this.admission,
+				this.tables, this::onEndpointNotice, this.timer, this.clock));
+		this.auditLog = new AuditLog(log, new AuditChain(self.name(), this.peers.self().incarnation()),
+				System::currentTimeMillis);
+		this.audit = new AuditTrail(this.auditLog, this::recordsConfig);
+		this.lease = new MaintenanceLease(log, run, this.peers::isLogReader, this.audit::onLease, this.clock);
+		this.follower = new ConfigFollower(log, this.holder, PeerNode.otherPeers(self), this.peers, this.timer,
+				this.peers::isLogReader, this.audit::onConfig);
+		this.checkpointer = new ConfigCheckpointer(log, settings.platform().logRetentionMillis(), this.lease::isValid,
+				this.follower::state, this.clock);
 		EngineClients engines = new EngineClients(this.http, this.tables);
 		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal, engines));
 		this.adminServer = new AdminServer(self.adminListen(), new AdminServer.Parts(self.name(), this.holder,
-				this.drain, this::startDrain, this.tables, journal, this.registry, this.clock));
+				this.drain, this::startDrain, this.tables, journal, this.peers, this.registry, this.clock));
 		startFollowing(engines);
 		DaemonEvent.STARTED.log(self.name(), self.httpListen(), self.adminListen());
 	}
@@ -116,6 +142,24 @@
 	public void startDrain() {
 		DaemonEvent.DRAIN_STARTED.log(this.drain.openRequests());
 		this.drain.onSignal(this.clock.getAsLong());
+		this.audit.onDrain(this.settings.daemon().name(), this.drain.phase().name());
+		this.peers.announceDrain();
+	}
+
+	/**
+	 * Returns this daemon among its peers.
+	 * @return the node
+	 */
+	PeerNode peers() {
+		return this.peers;
+	}
+
+	/**
+	 * Returns the maintenance lease.
+	 * @return the lease
+	 */
+	MaintenanceLease lease() {
+		return this.lease;
 	}
 
 	/**
@@ -129,6 +173,9 @@
 	@Override
 	public void close() {
 		this.follower.stop();
+		this.peers.close();
+		this.lease.stop().completeOnTimeout(null, STOP_MILLIS, TimeUnit.MILLISECONDS).join();
+		this.auditLog.flush().completeOnTimeout(null, STOP_MILLIS, TimeUnit.MILLISECONDS).join();
 		this.claims.stop();
 		this.callerServer.stop();
 		this.adminServer.stop();
@@ -143,12 +190,18 @@
 		ProtectedCallService protectedCalls = new ProtectedCallService(this.settings.daemon().name(), this.claims,
 				policy, this.tables, this.http, this.timer, new ClaimMetrics(this.registry), this.clock,
 				System::currentTimeMillis);
-		return new CallerServer.Parts(this.holder, this.drain, new Admission(new Random()), this.tables, journal,
-				answers, protectedCalls, this.http, this.workers, new Random(), this.clock);
+		return new CallerServer.Parts(this.holder, this.drain, this.admission, this.tables, journal, answers,
+				protectedCalls, this.http, this.workers, new Random(), this.clock);
 	}
 
 	private void startFollowing(EngineClients engines) {
+		this.peers.start();
 		this.follower.start();
+		this.lease.start(this.timer);
+		this.checkpointer.start(this.timer);
+		this.auditLog.start(this.timer);
+		this.timer.scheduleWithFixedDelay(() -> this.audit.onRefusals(this.admission.takeRefusals()), REFUSAL_SECONDS,
+				REFUSAL_SECONDS, TimeUnit.SECONDS);
 		this.claims.start();
 		HostListClient hosts = new HostListClient(this.http, this.settings.platform().hostList(),
 				PLATFORM_LIMIT_MILLIS);
@@ -157,6 +210,18 @@
 				TimeUnit.MILLISECONDS);
 	}
 
+	private void onNewerConfig(ConfigSnapshot snapshot) {
+		this.follower.onPeerState(snapshot);
+	}
+
+	private void onEndpointNotice(EndpointNotice notice) {
+		this.audit.onEndpoint(notice);
+	}
+
+	private boolean recordsConfig() {
+		return this.lease.isValid() || (!this.lease.hasHolder() && this.peers.isFirstReader());
+	}
+
 	private void checkDrain() {
 		boolean over = this.drain.onTime(this.clock.getAsLong()) == DrainPhase.ENDED;
 		if (over && this.ended.getCount() > 0) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -55,6 +55,33 @@
 	/** A foreign record was skipped. */
 	FOREIGN_RECORD(4003, Level.WARNING, "offset %s of stream %s holds no record of this program"),
 
+	/** A daemon was seen for the first time. */
+	MEMBER_JOINED(5001, Level.INFO, "daemon %s joined"),
+
+	/** A daemon left or is silent. */
+	MEMBER_GONE(5002, Level.WARNING, "daemon %s is %s"),
+
+	/** A peer's configuration could not be fetched or used. */
+	PEER_CONFIG_FAILED(5003, Level.WARNING, "the configuration of peer %s could not be used: %s"),
+
+	/** This daemon holds the maintenance lease. */
+	LEASE_HELD(6001, Level.INFO, "lease %s is held with fencing number %s"),
+
+	/** This daemon no longer holds the maintenance lease. */
+	LEASE_ENDED(6002, Level.INFO, "lease %s is no longer held"),
+
+	/** The lease stream cannot be read or written. */
+	LEASE_LOG_UNAVAILABLE(6003, Level.WARNING, "the lease stream is unavailable: %s"),
+
+	/** A checkpoint was appended. */
+	CHECKPOINT_WRITTEN(6004, Level.INFO, "checkpoint of configuration %s written at offset %s"),
+
+	/** A checkpoint could not be appended. */
+	CHECKPOINT_FAILED(6005, Level.WARNING, "checkpoint of configuration %s could not be written: %s"),
+
+	/** The audit stream cannot be written. */
+	AUDIT_LOG_UNAVAILABLE(7001, Level.WARNING, "the audit stream is unavailable, %s entries wait: %s"),
+
 	/** An invariant does not hold. */
 	INVARIANT_VIOLATED(9001, Level.SEVERE, "request %s: %s"),
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -19,6 +19,7 @@
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.journal.RequestRecord;
+import org.comfreyslip.daemon.journal.RequestSearch;
 import org.comfreyslip.daemon.route.EndpointStatus;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.platform.ErrorBody;
@@ -103,8 +104,16 @@
 		return this.parts.journal()
 			.find(id)
 			.map((found) -> json(context, OK, new Explanation(this.parts.daemon(), found)))
-			.orElseGet(() -> error(context, ErrorCode.NOT_FOUND,
-					"request " + id + " is not in the record of daemon " + this.parts.daemon()));
+			.orElseGet(() -> explainFromPeers(context, id));
+	}
+
+	private Context explainFromPeers(Context context, String id) {
+		this.parts.search()
+			.find(id)
+			.thenAccept((found) -> found.map((record) -> json(context, OK, record))
+				.orElseGet(() -> error(context, ErrorCode.NOT_FOUND,
+						"request " + id + " is not in the record of any daemon that answered")));
+		return context;
 	}
 
 	private Context drain(Context context) {
@@ -148,11 +157,13 @@
 	 * @param drainer starts the shutdown
 	 * @param tables the endpoint table
 	 * @param journal the record of requests
+	 * @param search searches the other daemons for a request
 	 * @param registry the metrics
 	 * @param clock the monotonic clock, in ns
 	 */
 	public record Parts(String daemon, ConfigHolder holder, DrainController drain, Runnable drainer,
-			RoutingTables tables, RequestJournal journal, PrometheusMeterRegistry registry, LongSupplier clock) {
+			RoutingTables tables, RequestJournal journal, RequestSearch search, PrometheusMeterRegistry registry,
+			LongSupplier clock) {
 	}
 
 	/**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
@@ -2,9 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import org.comfreyslip.coordination.config.ConfigBootstrap;
 import org.comfreyslip.coordination.config.ConfigFold;
@@ -42,6 +46,12 @@
 
 	private final ScheduledExecutorService timer;
 
+	private final BooleanSupplier logReader;
+
+	private final Consumer<ConfigVerdict> verdicts;
+
+	private final Set<String> asked = ConcurrentHashMap.newKeySet();
+
 	private ConfigBootstrap bootstrap;
 
 	private ConfigFold fold;
@@ -57,14 +67,19 @@
 	 * @param peers the names of the peers in the daemon's settings
 	 * @param peerSource asks a peer for its configuration
 	 * @param timer runs retries
+	 * @param logReader whether this daemon reads the log once it has a configuration; the
+	 * others move to newer versions by {@link #onPeerState}
+	 * @param verdicts hears of the decisions on records that are read after the start
 	 */
 	public ConfigFollower(LogClient log, ConfigHolder holder, Set<String> peers, PeerConfigSource peerSource,
-			ScheduledExecutorService timer) {
+			ScheduledExecutorService timer, BooleanSupplier logReader, Consumer<ConfigVerdict> verdicts) {
 		this.log = log;
 		this.holder = holder;
 		this.peers = peers;
 		this.peerSource = peerSource;
 		this.timer = timer;
+		this.logReader = logReader;
+		this.verdicts = verdicts;
 		this.bootstrap = new ConfigBootstrap(ConfigSnapshot.INITIAL, peers);
 	}
 
@@ -92,10 +107,22 @@
 		}
 	}
 
+	/**
+	 * Returns the state that this daemon has reached.
+	 * @return the state, or empty before there is one
+	 */
+	public synchronized Optional<ConfigSnapshot> state() {
+		return Optional.ofNullable(this.fold).map(ConfigFold::snapshot);
+	}
+
 	private void readNext() {
 		if (this.stopped) {
 			return;
 		}
+		if (isFollowing() && !this.logReader.getAsBoolean()) {
+			this.timer.schedule(this::readNext, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		long from = nextOffset();
 		this.log.read(STREAM, from, PAGE_RECORDS, POLL_MILLIS).whenComplete((page, ex) -> {
 			if (ex != null) {
@@ -148,6 +175,7 @@
 		ConfigVerdict verdict = logged.record().isPresent() ? this.fold.apply(logged.offset(), logged.record().get())
 				: this.fold.skip(logged.offset());
 		report(List.of(verdict));
+		this.verdicts.accept(verdict);
 		String author = (verdict instanceof ConfigVerdict.Accepted accepted) ? accepted.author() : "";
 		this.holder.accept(this.fold.snapshot(), author);
 	}
@@ -162,7 +190,11 @@
 			return;
 		}
 		for (String peer : this.peers) {
-			this.peerSource.fetch(peer).thenAccept((snapshot) -> onPeer(peer, snapshot));
+			if (this.asked.add(peer)) {
+				this.peerSource.fetch(peer)
+					.thenAccept((snapshot) -> onPeer(peer, snapshot))
+					.whenComplete((done, ex) -> this.asked.remove(peer));
+			}
 		}
 	}
 
@@ -170,7 +202,7 @@
 		return this.fold != null;
 	}
 
-	private synchronized void onPeer(String peer, java.util.Optional<ConfigSnapshot> snapshot) {
+	private synchronized void onPeer(String peer, Optional<ConfigSnapshot> snapshot) {
 		if (this.fold != null) {
 			return;
 		}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/Admission.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/Admission.java
@@ -1,5 +1,7 @@
 package org.comfreyslip.daemon.http;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 import org.comfreyslip.coordination.CallBoundary;
@@ -27,6 +29,8 @@
 
 	private final RetryBudget retries = new RetryBudget();
 
+	private final Map<String, Long> refusals = new TreeMap<>();
+
 	private final RandomGenerator random;
 
 	/**
@@ -50,6 +54,7 @@
 		AdmissionDecision decision = this.controller.admit(new AdmissionRequest(account, deadline, 0), now,
 				this.random);
 		if (decision instanceof AdmissionDecision.Refused refused) {
+			this.refusals.merge(refused.reason().name(), 1L, Long::sum);
 			throw boundary.notRun(refused.reason().code(), "request refused: " + refused.reason(),
 					refused.retryAfterMillis());
 		}
@@ -88,6 +93,25 @@
 		this.shares.onPeerUsage(peer, account, open, now);
 	}
 
+	/**
+	 * Takes the refusals since the last call.
+	 * @return the count of each reason that occurred
+	 */
+	public synchronized Map<String, Long> takeRefusals() {
+		Map<String, Long> taken = new TreeMap<>(this.refusals);
+		this.refusals.clear();
+		return taken;
+	}
+
+	/**
+	 * Drops the usage of peers that have not reported for a while. A peer that died would
+	 * otherwise count against its accounts for ever.
+	 * @param now the present time
+	 */
+	public synchronized void expirePeerUsage(long now) {
+		this.shares.expire(now);
+	}
+
 	/**
 	 * Returns an account's open requests on this daemon.
 	 * @param account the account's name
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/journal/RequestSearch.java
@@ -0,0 +1,19 @@
+package org.comfreyslip.daemon.journal;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Searches the other daemons for the record of a request.
+ */
+@FunctionalInterface
+public interface RequestSearch {
+
+	/**
+	 * Asks the other daemons.
+	 * @param id the request's id
+	 * @return the record, or empty if no daemon that answered in time has it
+	 */
+	CompletableFuture<Optional<FoundRequest>> find(String id);
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The maintenance lease and what its holder orders.
+ */
+package org.comfreyslip.daemon.order;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerMembership.java
@@ -0,0 +1,154 @@
+package org.comfreyslip.daemon.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.comfreyslip.coordination.membership.AccountUsage;
+import org.comfreyslip.coordination.membership.ConfigReaderSelection;
+import org.comfreyslip.coordination.membership.EndpointNotice;
+import org.comfreyslip.coordination.membership.GossipPeerSelector;
+import org.comfreyslip.coordination.membership.Member;
+import org.comfreyslip.coordination.membership.MemberReport;
+import org.comfreyslip.coordination.membership.MemberState;
+import org.comfreyslip.coordination.membership.MemberTable;
+import org.comfreyslip.coordination.membership.MembershipDelta;
+
+/**
+ * The member table under the membership lock, with the exchanges in progress.
+ */
+final class PeerMembership {
+
+	/** Time without any difference after which gossip counts as silent. */
+	private static final long SILENT_NANOS = 10_000_000_000L;
+
+	private final MemberTable table;
+
+	private final GossipPeerSelector selector;
+
+	private final SeedSelector seeds;
+
+	private final Set<String> exchanging = new HashSet<>();
+
+	private final Set<String> repliedMeanwhile = new HashSet<>();
+
+	private long heardAt;
+
+	PeerMembership(Member self, Set<String> seedAddresses, RandomGenerator random, long now) {
+		this.table = new MemberTable(self, now);
+		this.selector = new GossipPeerSelector(self, random, now);
+		this.seeds = new SeedSelector(seedAddresses, random, now);
+		this.heardAt = now;
+	}
+
+	synchronized void tick(long now, long configVersion) {
+		this.table.tick(now, configVersion);
+	}
+
+	synchronized List<PeerTarget> due(long now) {
+		List<PeerTarget> targets = new ArrayList<>();
+		this.selector.due(this.table, now).forEach((member) -> targets.add(PeerTarget.of(member)));
+		Set<String> known = new HashSet<>();
+		others(now).forEach((member) -> known.add(member.address()));
+		this.seeds.due(known, now).ifPresent((address) -> targets.add(PeerTarget.ofSeed(address)));
+		return targets;
+	}
+
+	/**
+	 * Begins an exchange.
+	 * @param peer the peer's name
+	 * @param usage use of client accounts on this daemon
+	 * @return the difference to send, or empty while an exchange with the peer is open,
+	 * because an answer could not be told from the other's
+	 */
+	synchronized Optional<byte[]> begin(String peer, List<AccountUsage> usage) {
+		if (!this.exchanging.add(peer)) {
+			return Optional.empty();
+		}
+		this.repliedMeanwhile.remove(peer);
+		return Optional.of(this.table.deltaFor(peer, usage).encode());
+	}
+
+	/**
+	 * Ends an exchange. The peer has what was sent only if it answered, and if no reply
+	 * to an exchange of its own was created meanwhile: that reply may have been lost.
+	 * @param peer the name that the exchange was begun with
+	 * @param answered whether the peer answered
+	 */
+	synchronized void end(String peer, boolean answered) {
+		this.exchanging.remove(peer);
+		if (answered && !this.repliedMeanwhile.remove(peer)) {
+			this.table.onConfirmed(peer);
+		}
+	}
+
+	synchronized List<EndpointNotice> merge(MembershipDelta delta, long now) {
+		this.heardAt = now;
+		return this.table.merge(delta, now);
+	}
+
+	synchronized byte[] replyTo(String peer, List<AccountUsage> usage) {
+		this.repliedMeanwhile.add(peer);
+		return this.table.deltaFor(peer, usage).encode();
+	}
+
+	synchronized void announce(MemberReport.Phase phase, long now) {
+		if (phase.compareTo(this.table.self().phase()) > 0) {
+			this.table.announce(phase, now);
+		}
+	}
+
+	synchronized void addNotice(EndpointNotice notice) {
+		this.table.addNotice(notice);
+	}
+
+	synchronized List<Member> others(long now) {
+		String self = this.table.self().member().name();
+		return this.table.members(MemberState::isExchangePeer, now)
+			.stream()
+			.filter((member) -> !member.name().equals(self))
+			.toList();
+	}
+
+	synchronized int liveDaemons(long now) {
+		return Math.max(1, this.table.members(MemberState::isOwner, now).size());
+	}
+
+	synchronized MemberState state(String name, long now) {
+		return this.table.state(name, now);
+	}
+
+	synchronized Set<String> knownAddresses() {
+		Set<String> addresses = new HashSet<>();
+		this.table.members((state) -> true, 0).forEach((member) -> addresses.add(member.address()));
+		return addresses;
+	}
+
+	synchronized boolean isLogReader(long now) {
+		return now - this.heardAt >= SILENT_NANOS || ConfigReaderSelection.isReader(this.table, now);
+	}
+
+	synchronized boolean isFirstReader(long now) {
+		List<Member> owners = this.table.members(MemberState::isOwner, now);
+		return !owners.isEmpty() && owners.get(0).name().equals(this.table.self().member().name());
+	}
+
+	/**
+	 * Finds a member with a newer configuration.
+	 * @param version the own version
+	 * @param now the current time
+	 * @return the member with the highest version above the own one
+	 */
+	synchronized Optional<Member> newerThan(long version, long now) {
+		return others(now).stream()
+			.flatMap((member) -> this.table.report(member.name()).stream())
+			.filter((report) -> report.configVersion() > version)
+			.max(Comparator.comparingLong(MemberReport::configVersion))
+			.map(MemberReport::member);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerReply.java
@@ -0,0 +1,35 @@
+package org.comfreyslip.daemon.peer;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.grpc.stub.StreamObserver;
+
+/**
+ * Receives the single message of a reply as a future.
+ *
+ * @param <T> the message type
+ */
+final class PeerReply<T> implements StreamObserver<T> {
+
+	private final CompletableFuture<T> future = new CompletableFuture<>();
+
+	CompletableFuture<T> future() {
+		return this.future;
+	}
+
+	@Override
+	public void onNext(T message) {
+		this.future.complete(message);
+	}
+
+	@Override
+	public void onError(Throwable cause) {
+		this.future.completeExceptionally(cause);
+	}
+
+	@Override
+	public void onCompleted() {
+		this.future.completeExceptionally(new IllegalStateException("the peer sent no message"));
+	}
+
+}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
@@ -242,6 +242,24 @@
 			.ifPresent((entry) -> entry.health().onFailure(EndpointGrant.NORMAL, failure, now, this.random));
 	}
 
+	/**
+	 * Takes a peer's news that an endpoint takes no work there.
+	 * @param name the endpoint's name
+	 * @param state {@link EndpointState#LEAVING} or {@link EndpointState#EJECTED}; others
+	 * have no effect, because each daemon ends an ejection by its own probe
+	 * @param now the present time
+	 */
+	public synchronized void onPeerNotice(String name, EndpointState state, long now) {
+		this.endpoints.find(name).ifPresent((entry) -> {
+			if (state == EndpointState.LEAVING) {
+				markLeaving(entry, true, now);
+			}
+			else if (state == EndpointState.EJECTED) {
+				entry.health().onPeerEjection(now, this.random);
+			}
+		});
+	}
+
 	/**
 	 * Returns whether an endpoint is leaving.
 	 * @param name the endpoint's name
--- a/comfreyslip-messages/src/main/java/org/comfreyslip/wire/Comfreyslip.java
+++ b/comfreyslip-messages/src/main/java/org/comfreyslip/wire/Comfreyslip.java
@@ -26,21 +26,6 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_comfreyslip_v1_MemberEntry_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_comfreyslip_v1_MemberEntry_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_comfreyslip_v1_AccountUsage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_comfreyslip_v1_AccountUsage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_comfreyslip_v1_EndpointNotice_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_comfreyslip_v1_EndpointNotice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_comfreyslip_v1_ExchangeRequest_descriptor;
   static final 
@@ -90,110 +75,78 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\021comfreyslip.proto\022\016comfreyslip.v1\"\322\001\n\013" +
-      "MemberEntry\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\006\022\021\n\theartbeat\030\003 \001(\004\022\r\n\005state\030\004 \001(\r" +
-      "\022\024\n\014grpc_address\030\005 \001(\t\022\024\n\014http_address\030\006" +
-      " \001(\t\022\023\n\013data_centre\030\007 \001(\t\022\016\n\006region\030\010 \001(" +
-      "\t\022\026\n\016config_version\030\t \001(\004\022\025\n\rconfig_form" +
-      "at\030\n \001(\r\"/\n\014AccountUsage\022\017\n\007account\030\001 \001(" +
-      "\t\022\016\n\006in_use\030\002 \001(\r\"C\n\016EndpointNotice\022\020\n\010e" +
-      "ndpoint\030\001 \001(\t\022\r\n\005state\030\002 \001(\r\022\020\n\010sequence" +
-      "\030\003 \001(\004\"\253\001\n\017ExchangeRequest\022\014\n\004from\030\001 \001(\t" +
-      "\022,\n\007members\030\002 \003(\0132\033.comfreyslip.v1.Membe" +
-      "rEntry\022+\n\005usage\030\003 \003(\0132\034.comfreyslip.v1.A" +
-      "ccountUsage\022/\n\007notices\030\004 \003(\0132\036.comfreysl" +
-      "ip.v1.EndpointNotice\"\251\001\n\rExchangeReply\022\014" +
-      "\n\004from\030\001 \001(\t\022,\n\007members\030\002 \003(\0132\033.comfreys" +
-      "lip.v1.MemberEntry\022+\n\005usage\030\003 \003(\0132\034.comf" +
-      "reyslip.v1.AccountUsage\022/\n\007notices\030\004 \003(\013" +
-      "2\036.comfreyslip.v1.EndpointNotice\"*\n\022Fetc" +
-      "hConfigRequest\022\024\n\014known_digest\030\001 \001(\t\"g\n\020" +
-      "FetchConfigReply\022\017\n\007version\030\001 \001(\004\022\016\n\006off" +
-      "set\030\002 \001(\003\022\016\n\006digest\030\003 \001(\t\022\024\n\014folded_up_t" +
-      "o\030\004 \001(\003\022\014\n\004text\030\005 \001(\014\"9\n\023SubmitClaimsReq" +
-      "uest\022\021\n\tpartition\030\001 \001(\r\022\017\n\007records\030\002 \003(\014" +
-      "\"#\n\021SubmitClaimsReply\022\016\n\006offset\030\001 \001(\003\"9\n" +
-      "\022FindRequestRequest\022\017\n\007request\030\001 \001(\t\022\022\n\n" +
-      "ask_others\030\002 \001(\010\"A\n\020FindRequestReply\022\r\n\005" +
-      "found\030\001 \001(\010\022\016\n\006daemon\030\002 \001(\t\022\016\n\006record\030\003 " +
-      "\001(\t2\324\002\n\004Peer\022J\n\010Exchange\022\037.comfreyslip.v" +
-      "1.ExchangeRequest\032\035.comfreyslip.v1.Excha" +
-      "ngeReply\022S\n\013FetchConfig\022\".comfreyslip.v1" +
-      ".FetchConfigRequest\032 .comfreyslip.v1.Fet" +
-      "chConfigReply\022V\n\014SubmitClaims\022#.comfreys" +
-      "lip.v1.SubmitClaimsRequest\032!.comfreyslip" +
-      ".v1.SubmitClaimsReply\022S\n\013FindRequest\022\".c" +
-      "omfreyslip.v1.FindRequestRequest\032 .comfr" +
-      "eyslip.v1.FindRequestReplyB\030\n\024org.comfre" +
-      "yslip.wireP\001b\006proto3"
+      "\n\021comfreyslip.proto\022\016comfreyslip.v1\" \n\017E" +
+      "xchangeRequest\022\r\n\005delta\030\001 \001(\014\"\036\n\rExchang" +
+      "eReply\022\r\n\005delta\030\001 \001(\014\"*\n\022FetchConfigRequ" +
+      "est\022\024\n\014known_digest\030\001 \001(\t\"\214\001\n\020FetchConfi" +
+      "gReply\022\017\n\007version\030\001 \001(\004\022\016\n\006offset\030\002 \001(\003\022" +
+      "\016\n\006digest\030\003 \001(\t\022\024\n\014folded_up_to\030\004 \001(\003\022\014\n" +
+      "\004text\030\005 \001(\014\022\022\n\ndifference\030\006 \001(\014\022\017\n\007prese" +
+      "nt\030\007 \001(\010\"9\n\023SubmitClaimsRequest\022\021\n\tparti" +
+      "tion\030\001 \001(\r\022\017\n\007records\030\002 \003(\014\"#\n\021SubmitCla" +
+      "imsReply\022\016\n\006offset\030\001 \001(\003\"9\n\022FindRequestR" +
+      "equest\022\017\n\007request\030\001 \001(\t\022\022\n\nask_others\030\002 " +
+      "\001(\010\"A\n\020FindRequestReply\022\r\n\005found\030\001 \001(\010\022\016" +
+      "\n\006daemon\030\002 \001(\t\022\016\n\006record\030\003 \001(\t2\324\002\n\004Peer\022" +
+      "J\n\010Exchange\022\037.comfreyslip.v1.ExchangeReq" +
+      "uest\032\035.comfreyslip.v1.ExchangeReply\022S\n\013F" +
+      "etchConfig\022\".comfreyslip.v1.FetchConfigR" +
+      "equest\032 .comfreyslip.v1.FetchConfigReply" +
+      "\022V\n\014SubmitClaims\022#.comfreyslip.v1.Submit" +
+      "ClaimsRequest\032!.comfreyslip.v1.SubmitCla" +
+      "imsReply\022S\n\013FindRequest\022\".comfreyslip.v1" +
+      ".FindRequestRequest\032 .comfreyslip.v1.Fin" +
+      "dRequestReplyB\030\n\024org.comfreyslip.wireP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
         });
-    internal_static_comfreyslip_v1_MemberEntry_descriptor =
-      getDescriptor().getMessageType(0);
-    internal_static_comfreyslip_v1_MemberEntry_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_comfreyslip_v1_MemberEntry_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Heartbeat", "State", "GrpcAddress", "HttpAddress", "DataCentre", "Region", "ConfigVersion", "ConfigFormat", });
-    internal_static_comfreyslip_v1_AccountUsage_descriptor =
-      getDescriptor().getMessageType(1);
-    internal_static_comfreyslip_v1_AccountUsage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_comfreyslip_v1_AccountUsage_descriptor,
-        new java.lang.String[] { "Account", "InUse", });
-    internal_static_comfreyslip_v1_EndpointNotice_descriptor =
-      getDescriptor().getMessageType(2);
-    internal_static_comfreyslip_v1_EndpointNotice_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_comfreyslip_v1_EndpointNotice_descriptor,
-        new java.lang.String[] { "Endpoint", "State", "Sequence", });
     internal_static_comfreyslip_v1_ExchangeRequest_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(0);
     internal_static_comfreyslip_v1_ExchangeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_ExchangeRequest_descriptor,
-        new java.lang.String[] { "From", "Members", "Usage", "Notices", });
+        new java.lang.String[] { "Delta", });
     internal_static_comfreyslip_v1_ExchangeReply_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(1);
     internal_static_comfreyslip_v1_ExchangeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_ExchangeReply_descriptor,
-        new java.lang.String[] { "From", "Members", "Usage", "Notices", });
+        new java.lang.String[] { "Delta", });
     internal_static_comfreyslip_v1_FetchConfigRequest_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(2);
     internal_static_comfreyslip_v1_FetchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_FetchConfigRequest_descriptor,
         new java.lang.String[] { "KnownDigest", });
     internal_static_comfreyslip_v1_FetchConfigReply_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(3);
     internal_static_comfreyslip_v1_FetchConfigReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_FetchConfigReply_descriptor,
-        new java.lang.String[] { "Version", "Offset", "Digest", "FoldedUpTo", "Text", });
+        new java.lang.String[] { "Version", "Offset", "Digest", "FoldedUpTo", "Text", "Difference", "Present", });
     internal_static_comfreyslip_v1_SubmitClaimsRequest_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(4);
     internal_static_comfreyslip_v1_SubmitClaimsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_SubmitClaimsRequest_descriptor,
         new java.lang.String[] { "Partition", "Records", });
     internal_static_comfreyslip_v1_SubmitClaimsReply_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(5);
     internal_static_comfreyslip_v1_SubmitClaimsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_SubmitClaimsReply_descriptor,
         new java.lang.String[] { "Offset", });
     internal_static_comfreyslip_v1_FindRequestRequest_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(6);
     internal_static_comfreyslip_v1_FindRequestRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_FindRequestRequest_descriptor,
         new java.lang.String[] { "Request", "AskOthers", });
     internal_static_comfreyslip_v1_FindRequestReply_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(7);
     internal_static_comfreyslip_v1_FindRequestReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_comfreyslip_v1_FindRequestReply_descriptor,
--- a/comfreyslip-messages/src/main/java/org/comfreyslip/wire/ExchangeReplyOrBuilder.java
+++ b/comfreyslip-messages/src/main/java/org/comfreyslip/wire/ExchangeReplyOrBuilder.java
@@ -11,86 +11,8 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string from = 1;</code>
-   * @return The from.
+   * <code>bytes delta = 1;</code>
+   * @return The delta.
    */
-  java.lang.String getFrom();
-  /**
-   * <code>string from = 1;</code>
-   * @return The bytes for from.
-   */
-  com.google.protobuf.ByteString
-      getFromBytes();
-
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  java.util.List<org.comfreyslip.wire.MemberEntry> 
-      getMembersList();
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  org.comfreyslip.wire.MemberEntry getMembers(int index);
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  int getMembersCount();
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  java.util.List<? extends org.comfreyslip.wire.MemberEntryOrBuilder> 
-      getMembersOrBuilderList();
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  org.comfreyslip.wire.MemberEntryOrBuilder getMembersOrBuilder(
-      int index);
-
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  java.util.List<org.comfreyslip.wire.AccountUsage> 
-      getUsageList();
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  org.comfreyslip.wire.AccountUsage getUsage(int index);
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  int getUsageCount();
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  java.util.List<? extends org.comfreyslip.wire.AccountUsageOrBuilder> 
-      getUsageOrBuilderList();
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  org.comfreyslip.wire.AccountUsageOrBuilder getUsageOrBuilder(
-      int index);
-
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  java.util.List<org.comfreyslip.wire.EndpointNotice> 
-      getNoticesList();
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  org.comfreyslip.wire.EndpointNotice getNotices(int index);
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  int getNoticesCount();
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  java.util.List<? extends org.comfreyslip.wire.EndpointNoticeOrBuilder> 
-      getNoticesOrBuilderList();
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  org.comfreyslip.wire.EndpointNoticeOrBuilder getNoticesOrBuilder(
-      int index);
+  com.google.protobuf.ByteString getDelta();
 }
--- a/comfreyslip-messages/src/main/java/org/comfreyslip/wire/ExchangeRequest.java
+++ b/comfreyslip-messages/src/main/java/org/comfreyslip/wire/ExchangeRequest.java
@@ -6,6 +6,11 @@
 package org.comfreyslip.wire;
 
 /**
+ * <pre>
+ * Both directions carry a membership difference in its own compact encoding: heartbeats, reports, account usage and
+ * endpoint notices. One entry takes a few bytes, where a message of its own would repeat field tags for each.
+ * </pre>
+ *
  * Protobuf type {@code comfreyslip.v1.ExchangeRequest}
  */
 @com.google.protobuf.Generated
@@ -28,10 +33,7 @@
     super(builder);
   }
   private ExchangeRequest() {
-    from_ = "";
-    members_ = java.util.Collections.emptyList();
-    usage_ = java.util.Collections.emptyList();
-    notices_ = java.util.Collections.emptyList();
+    delta_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -47,166 +49,15 @@
             org.comfreyslip.wire.ExchangeRequest.class, org.comfreyslip.wire.ExchangeRequest.Builder.class);
   }
 
-  public static final int FROM_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object from_ = "";
+  public static final int DELTA_FIELD_NUMBER = 1;
+  private com.google.protobuf.ByteString delta_ = com.google.protobuf.ByteString.EMPTY;
   /**
-   * <code>string from = 1;</code>
-   * @return The from.
+   * <code>bytes delta = 1;</code>
+   * @return The delta.
    */
   @java.lang.Override
-  public java.lang.String getFrom() {
-    java.lang.Object ref = from_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      from_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string from = 1;</code>
-   * @return The bytes for from.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getFromBytes() {
-    java.lang.Object ref = from_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      from_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int MEMBERS_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private java.util.List<org.comfreyslip.wire.MemberEntry> members_;
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.comfreyslip.wire.MemberEntry> getMembersList() {
-    return members_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.comfreyslip.wire.MemberEntryOrBuilder> 
-      getMembersOrBuilderList() {
-    return members_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  @java.lang.Override
-  public int getMembersCount() {
-    return members_.size();
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.MemberEntry getMembers(int index) {
-    return members_.get(index);
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.MemberEntryOrBuilder getMembersOrBuilder(
-      int index) {
-    return members_.get(index);
-  }
-
-  public static final int USAGE_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private java.util.List<org.comfreyslip.wire.AccountUsage> usage_;
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.comfreyslip.wire.AccountUsage> getUsageList() {
-    return usage_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.comfreyslip.wire.AccountUsageOrBuilder> 
-      getUsageOrBuilderList() {
-    return usage_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  @java.lang.Override
-  public int getUsageCount() {
-    return usage_.size();
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.AccountUsage getUsage(int index) {
-    return usage_.get(index);
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.AccountUsageOrBuilder getUsageOrBuilder(
-      int index) {
-    return usage_.get(index);
-  }
-
-  public static final int NOTICES_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private java.util.List<org.comfreyslip.wire.EndpointNotice> notices_;
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.comfreyslip.wire.EndpointNotice> getNoticesList() {
-    return notices_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.comfreyslip.wire.EndpointNoticeOrBuilder> 
-      getNoticesOrBuilderList() {
-    return notices_;
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  @java.lang.Override
-  public int getNoticesCount() {
-    return notices_.size();
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.EndpointNotice getNotices(int index) {
-    return notices_.get(index);
-  }
-  /**
-   * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-   */
-  @java.lang.Override
-  public org.comfreyslip.wire.EndpointNoticeOrBuilder getNoticesOrBuilder(
-      int index) {
-    return notices_.get(index);
+  public com.google.protobuf.ByteString getDelta() {
+    return delta_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -223,17 +74,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, from_);
-    }
-    for (int i = 0; i < members_.size(); i++) {
-      output.writeMessage(2, members_.get(i));
-    }
-    for (int i = 0; i < usage_.size(); i++) {
-      output.writeMessage(3, usage_.get(i));
-    }
-    for (int i = 0; i < notices_.size(); i++) {
-      output.writeMessage(4, notices_.get(i));
+    if (!delta_.isEmpty()) {
+      output.writeBytes(1, delta_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -244,20 +86,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, from_);
-    }
-    for (int i = 0; i < members_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, members_.get(i));
-    }
-    for (int i = 0; i < usage_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, usage_.get(i));
-    }
-    for (int i = 0; i < notices_.size(); i++) {
+    if (!delta_.isEmpty()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, notices_.get(i));
+        .computeBytesSize(1, delta_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -274,14 +105,8 @@
     }
     org.comfreyslip.wire.ExchangeRequest other = (org.comfreyslip.wire.ExchangeRequest) obj;
 
-    if (!getFrom()
-        .equals(other.getFrom())) return false;
-    if (!getMembersList()
-        .equals(other.getMembersList())) return false;
-    if (!getUsageList()
-        .equals(other.getUsageList())) return false;
-    if (!getNoticesList()
-        .equals(other.getNoticesList())) return false;
+    if (!getDelta()
+        .equals(other.getDelta())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -293,20 +118,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + FROM_FIELD_NUMBER;
-    hash = (53 * hash) + getFrom().hashCode();
-    if (getMembersCount() > 0) {
-      hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
-      hash = (53 * hash) + getMembersList().hashCode();
-    }
-    if (getUsageCount() > 0) {
-      hash = (37 * hash) + USAGE_FIELD_NUMBER;
-      hash = (53 * hash) + getUsageList().hashCode();
-    }
-    if (getNoticesCount() > 0) {
-      hash = (37 * hash) + NOTICES_FIELD_NUMBER;
-      hash = (53 * hash) + getNoticesList().hashCode();
-    }
+    hash = (37 * hash) + DELTA_FIELD_NUMBER;
+    hash = (53 * hash) + getDelta().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -405,6 +218,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * Both directions carry a membership difference in its own compact encoding: heartbeats, reports, account usage and
+   * endpoint notices. One entry takes a few bytes, where a message of its own would repeat field tags for each.
+   * </pre>
+   *
    * Protobuf type {@code comfreyslip.v1.ExchangeRequest}
    */
   public static final class Builder extends
@@ -438,28 +256,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      from_ = "";
-      if (membersBuilder_ == null) {
-        members_ = java.util.Collections.emptyList();
-      } else {
-        members_ = null;
-        membersBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000002);
-      if (usageBuilder_ == null) {
-        usage_ = java.util.Collections.emptyList();
-      } else {
-        usage_ = null;
-        usageBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000004);
-      if (noticesBuilder_ == null) {
-        notices_ = java.util.Collections.emptyList();
-      } else {
-        notices_ = null;
-        noticesBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      delta_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -486,46 +283,15 @@
     @java.lang.Override
     public org.comfreyslip.wire.ExchangeRequest buildPartial() {
       org.comfreyslip.wire.ExchangeRequest result = new org.comfreyslip.wire.ExchangeRequest(this);
-      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.comfreyslip.wire.ExchangeRequest result) {
-      if (membersBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
-          members_ = java.util.Collections.unmodifiableList(members_);
-          bitField0_ = (bitField0_ & ~0x00000002);
-        }
-        result.members_ = members_;
-      } else {
-        result.members_ = membersBuilder_.build();
-      }
-      if (usageBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
-          usage_ = java.util.Collections.unmodifiableList(usage_);
-          bitField0_ = (bitField0_ & ~0x00000004);
-        }
-        result.usage_ = usage_;
-      } else {
-        result.usage_ = usageBuilder_.build();
-      }
-      if (noticesBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          notices_ = java.util.Collections.unmodifiableList(notices_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.notices_ = notices_;
-      } else {
-        result.notices_ = noticesBuilder_.build();
-      }
-    }
-
     private void buildPartial0(org.comfreyslip.wire.ExchangeRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.from_ = from_;
+        result.delta_ = delta_;
       }
     }
 
@@ -541,88 +307,8 @@
 
     public Builder mergeFrom(org.comfreyslip.wire.ExchangeRequest other) {
       if (other == org.comfreyslip.wire.ExchangeRequest.getDefaultInstance()) return this;
-      if (!other.getFrom().isEmpty()) {
-        from_ = other.from_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (membersBuilder_ == null) {
-        if (!other.members_.isEmpty()) {
-          if (members_.isEmpty()) {
-            members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-          } else {
-            ensureMembersIsMutable();
-            members_.addAll(other.members_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.members_.isEmpty()) {
-          if (membersBuilder_.isEmpty()) {
-            membersBuilder_.dispose();
-            membersBuilder_ = null;
-            members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-            membersBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetMembersFieldBuilder() : null;
-          } else {
-            membersBuilder_.addAllMessages(other.members_);
-          }
-        }
-      }
-      if (usageBuilder_ == null) {
-        if (!other.usage_.isEmpty()) {
-          if (usage_.isEmpty()) {
-            usage_ = other.usage_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-          } else {
-            ensureUsageIsMutable();
-            usage_.addAll(other.usage_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.usage_.isEmpty()) {
-          if (usageBuilder_.isEmpty()) {
-            usageBuilder_.dispose();
-            usageBuilder_ = null;
-            usage_ = other.usage_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-            usageBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetUsageFieldBuilder() : null;
-          } else {
-            usageBuilder_.addAllMessages(other.usage_);
-          }
-        }
-      }
-      if (noticesBuilder_ == null) {
-        if (!other.notices_.isEmpty()) {
-          if (notices_.isEmpty()) {
-            notices_ = other.notices_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureNoticesIsMutable();
-            notices_.addAll(other.notices_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.notices_.isEmpty()) {
-          if (noticesBuilder_.isEmpty()) {
-            noticesBuilder_.dispose();
-            noticesBuilder_ = null;
-            notices_ = other.notices_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            noticesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetNoticesFieldBuilder() : null;
-          } else {
-            noticesBuilder_.addAllMessages(other.notices_);
-          }
-        }
+      if (!other.getDelta().isEmpty()) {
+        setDelta(other.getDelta());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -651,49 +337,10 @@
               done = true;
               break;
             case 10: {
-              from_ = input.readStringRequireUtf8();
+              delta_ = input.readBytes();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              org.comfreyslip.wire.MemberEntry m =
-                  input.readMessage(
-                      org.comfreyslip.wire.MemberEntry.parser(),
-                      extensionRegistry);
-              if (membersBuilder_ == null) {
-                ensureMembersIsMutable();
-                members_.add(m);
-              } else {
-                membersBuilder_.addMessage(m);
-              }
-              break;
-            } // case 18
-            case 26: {
-              org.comfreyslip.wire.AccountUsage m =
-                  input.readMessage(
-                      org.comfreyslip.wire.AccountUsage.parser(),
-                      extensionRegistry);
-              if (usageBuilder_ == null) {
-                ensureUsageIsMutable();
-                usage_.add(m);
-              } else {
-                usageBuilder_.addMessage(m);
-              }
-              break;
-            } // case 26
-            case 34: {
-              org.comfreyslip.wire.EndpointNotice m =
-                  input.readMessage(
-                      org.comfreyslip.wire.EndpointNotice.parser(),
-                      extensionRegistry);
-              if (noticesBuilder_ == null) {
-                ensureNoticesIsMutable();
-                notices_.add(m);
-              } else {
-                noticesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -711,797 +358,37 @@
     }
     private int bitField0_;
 
-    private java.lang.Object from_ = "";
+    private com.google.protobuf.ByteString delta_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>string from = 1;</code>
-     * @return The from.
+     * <code>bytes delta = 1;</code>
+     * @return The delta.
      */
-    public java.lang.String getFrom() {
-      java.lang.Object ref = from_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        from_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string from = 1;</code>
-     * @return The bytes for from.
-     */
-    public com.google.protobuf.ByteString
-        getFromBytes() {
-      java.lang.Object ref = from_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        from_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDelta() {
+      return delta_;
     }
     /**
-     * <code>string from = 1;</code>
-     * @param value The from to set.
+     * <code>bytes delta = 1;</code>
+     * @param value The delta to set.
      * @return This builder for chaining.
      */
-    public Builder setFrom(
-        java.lang.String value) {
+    public Builder setDelta(com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
-      from_ = value;
+      delta_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string from = 1;</code>
+     * <code>bytes delta = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearFrom() {
-      from_ = getDefaultInstance().getFrom();
+    public Builder clearDelta() {
       bitField0_ = (bitField0_ & ~0x00000001);
+      delta_ = getDefaultInstance().getDelta();
       onChanged();
       return this;
     }
-    /**
-     * <code>string from = 1;</code>
-     * @param value The bytes for from to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFromBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      from_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
-    private java.util.List<org.comfreyslip.wire.MemberEntry> members_ =
-      java.util.Collections.emptyList();
-    private void ensureMembersIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
-        members_ = new java.util.ArrayList<org.comfreyslip.wire.MemberEntry>(members_);
-        bitField0_ |= 0x00000002;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.MemberEntry, org.comfreyslip.wire.MemberEntry.Builder, org.comfreyslip.wire.MemberEntryOrBuilder> membersBuilder_;
-
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.MemberEntry> getMembersList() {
-      if (membersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(members_);
-      } else {
-        return membersBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public int getMembersCount() {
-      if (membersBuilder_ == null) {
-        return members_.size();
-      } else {
-        return membersBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public org.comfreyslip.wire.MemberEntry getMembers(int index) {
-      if (membersBuilder_ == null) {
-        return members_.get(index);
-      } else {
-        return membersBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder setMembers(
-        int index, org.comfreyslip.wire.MemberEntry value) {
-      if (membersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureMembersIsMutable();
-        members_.set(index, value);
-        onChanged();
-      } else {
-        membersBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder setMembers(
-        int index, org.comfreyslip.wire.MemberEntry.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        membersBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder addMembers(org.comfreyslip.wire.MemberEntry value) {
-      if (membersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureMembersIsMutable();
-        members_.add(value);
-        onChanged();
-      } else {
-        membersBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder addMembers(
-        int index, org.comfreyslip.wire.MemberEntry value) {
-      if (membersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureMembersIsMutable();
-        members_.add(index, value);
-        onChanged();
-      } else {
-        membersBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder addMembers(
-        org.comfreyslip.wire.MemberEntry.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.add(builderForValue.build());
-        onChanged();
-      } else {
-        membersBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder addMembers(
-        int index, org.comfreyslip.wire.MemberEntry.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        membersBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder addAllMembers(
-        java.lang.Iterable<? extends org.comfreyslip.wire.MemberEntry> values) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, members_);
-        onChanged();
-      } else {
-        membersBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder clearMembers() {
-      if (membersBuilder_ == null) {
-        members_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-      } else {
-        membersBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public Builder removeMembers(int index) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.remove(index);
-        onChanged();
-      } else {
-        membersBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public org.comfreyslip.wire.MemberEntry.Builder getMembersBuilder(
-        int index) {
-      return internalGetMembersFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public org.comfreyslip.wire.MemberEntryOrBuilder getMembersOrBuilder(
-        int index) {
-      if (membersBuilder_ == null) {
-        return members_.get(index);  } else {
-        return membersBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public java.util.List<? extends org.comfreyslip.wire.MemberEntryOrBuilder> 
-         getMembersOrBuilderList() {
-      if (membersBuilder_ != null) {
-        return membersBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(members_);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public org.comfreyslip.wire.MemberEntry.Builder addMembersBuilder() {
-      return internalGetMembersFieldBuilder().addBuilder(
-          org.comfreyslip.wire.MemberEntry.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public org.comfreyslip.wire.MemberEntry.Builder addMembersBuilder(
-        int index) {
-      return internalGetMembersFieldBuilder().addBuilder(
-          index, org.comfreyslip.wire.MemberEntry.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.MemberEntry members = 2;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.MemberEntry.Builder> 
-         getMembersBuilderList() {
-      return internalGetMembersFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.MemberEntry, org.comfreyslip.wire.MemberEntry.Builder, org.comfreyslip.wire.MemberEntryOrBuilder> 
-        internalGetMembersFieldBuilder() {
-      if (membersBuilder_ == null) {
-        membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.comfreyslip.wire.MemberEntry, org.comfreyslip.wire.MemberEntry.Builder, org.comfreyslip.wire.MemberEntryOrBuilder>(
-                members_,
-                ((bitField0_ & 0x00000002) != 0),
-                getParentForChildren(),
-                isClean());
-        members_ = null;
-      }
-      return membersBuilder_;
-    }
-
-    private java.util.List<org.comfreyslip.wire.AccountUsage> usage_ =
-      java.util.Collections.emptyList();
-    private void ensureUsageIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
-        usage_ = new java.util.ArrayList<org.comfreyslip.wire.AccountUsage>(usage_);
-        bitField0_ |= 0x00000004;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.AccountUsage, org.comfreyslip.wire.AccountUsage.Builder, org.comfreyslip.wire.AccountUsageOrBuilder> usageBuilder_;
-
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.AccountUsage> getUsageList() {
-      if (usageBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(usage_);
-      } else {
-        return usageBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public int getUsageCount() {
-      if (usageBuilder_ == null) {
-        return usage_.size();
-      } else {
-        return usageBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public org.comfreyslip.wire.AccountUsage getUsage(int index) {
-      if (usageBuilder_ == null) {
-        return usage_.get(index);
-      } else {
-        return usageBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder setUsage(
-        int index, org.comfreyslip.wire.AccountUsage value) {
-      if (usageBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureUsageIsMutable();
-        usage_.set(index, value);
-        onChanged();
-      } else {
-        usageBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder setUsage(
-        int index, org.comfreyslip.wire.AccountUsage.Builder builderForValue) {
-      if (usageBuilder_ == null) {
-        ensureUsageIsMutable();
-        usage_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        usageBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder addUsage(org.comfreyslip.wire.AccountUsage value) {
-      if (usageBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureUsageIsMutable();
-        usage_.add(value);
-        onChanged();
-      } else {
-        usageBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder addUsage(
-        int index, org.comfreyslip.wire.AccountUsage value) {
-      if (usageBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureUsageIsMutable();
-        usage_.add(index, value);
-        onChanged();
-      } else {
-        usageBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder addUsage(
-        org.comfreyslip.wire.AccountUsage.Builder builderForValue) {
-      if (usageBuilder_ == null) {
-        ensureUsageIsMutable();
-        usage_.add(builderForValue.build());
-        onChanged();
-      } else {
-        usageBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder addUsage(
-        int index, org.comfreyslip.wire.AccountUsage.Builder builderForValue) {
-      if (usageBuilder_ == null) {
-        ensureUsageIsMutable();
-        usage_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        usageBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder addAllUsage(
-        java.lang.Iterable<? extends org.comfreyslip.wire.AccountUsage> values) {
-      if (usageBuilder_ == null) {
-        ensureUsageIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, usage_);
-        onChanged();
-      } else {
-        usageBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder clearUsage() {
-      if (usageBuilder_ == null) {
-        usage_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-      } else {
-        usageBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public Builder removeUsage(int index) {
-      if (usageBuilder_ == null) {
-        ensureUsageIsMutable();
-        usage_.remove(index);
-        onChanged();
-      } else {
-        usageBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public org.comfreyslip.wire.AccountUsage.Builder getUsageBuilder(
-        int index) {
-      return internalGetUsageFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public org.comfreyslip.wire.AccountUsageOrBuilder getUsageOrBuilder(
-        int index) {
-      if (usageBuilder_ == null) {
-        return usage_.get(index);  } else {
-        return usageBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public java.util.List<? extends org.comfreyslip.wire.AccountUsageOrBuilder> 
-         getUsageOrBuilderList() {
-      if (usageBuilder_ != null) {
-        return usageBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(usage_);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public org.comfreyslip.wire.AccountUsage.Builder addUsageBuilder() {
-      return internalGetUsageFieldBuilder().addBuilder(
-          org.comfreyslip.wire.AccountUsage.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public org.comfreyslip.wire.AccountUsage.Builder addUsageBuilder(
-        int index) {
-      return internalGetUsageFieldBuilder().addBuilder(
-          index, org.comfreyslip.wire.AccountUsage.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.AccountUsage usage = 3;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.AccountUsage.Builder> 
-         getUsageBuilderList() {
-      return internalGetUsageFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.AccountUsage, org.comfreyslip.wire.AccountUsage.Builder, org.comfreyslip.wire.AccountUsageOrBuilder> 
-        internalGetUsageFieldBuilder() {
-      if (usageBuilder_ == null) {
-        usageBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.comfreyslip.wire.AccountUsage, org.comfreyslip.wire.AccountUsage.Builder, org.comfreyslip.wire.AccountUsageOrBuilder>(
-                usage_,
-                ((bitField0_ & 0x00000004) != 0),
-                getParentForChildren(),
-                isClean());
-        usage_ = null;
-      }
-      return usageBuilder_;
-    }
-
-    private java.util.List<org.comfreyslip.wire.EndpointNotice> notices_ =
-      java.util.Collections.emptyList();
-    private void ensureNoticesIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        notices_ = new java.util.ArrayList<org.comfreyslip.wire.EndpointNotice>(notices_);
-        bitField0_ |= 0x00000008;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.EndpointNotice, org.comfreyslip.wire.EndpointNotice.Builder, org.comfreyslip.wire.EndpointNoticeOrBuilder> noticesBuilder_;
-
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.EndpointNotice> getNoticesList() {
-      if (noticesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(notices_);
-      } else {
-        return noticesBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public int getNoticesCount() {
-      if (noticesBuilder_ == null) {
-        return notices_.size();
-      } else {
-        return noticesBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public org.comfreyslip.wire.EndpointNotice getNotices(int index) {
-      if (noticesBuilder_ == null) {
-        return notices_.get(index);
-      } else {
-        return noticesBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder setNotices(
-        int index, org.comfreyslip.wire.EndpointNotice value) {
-      if (noticesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureNoticesIsMutable();
-        notices_.set(index, value);
-        onChanged();
-      } else {
-        noticesBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder setNotices(
-        int index, org.comfreyslip.wire.EndpointNotice.Builder builderForValue) {
-      if (noticesBuilder_ == null) {
-        ensureNoticesIsMutable();
-        notices_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        noticesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder addNotices(org.comfreyslip.wire.EndpointNotice value) {
-      if (noticesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureNoticesIsMutable();
-        notices_.add(value);
-        onChanged();
-      } else {
-        noticesBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder addNotices(
-        int index, org.comfreyslip.wire.EndpointNotice value) {
-      if (noticesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureNoticesIsMutable();
-        notices_.add(index, value);
-        onChanged();
-      } else {
-        noticesBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder addNotices(
-        org.comfreyslip.wire.EndpointNotice.Builder builderForValue) {
-      if (noticesBuilder_ == null) {
-        ensureNoticesIsMutable();
-        notices_.add(builderForValue.build());
-        onChanged();
-      } else {
-        noticesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder addNotices(
-        int index, org.comfreyslip.wire.EndpointNotice.Builder builderForValue) {
-      if (noticesBuilder_ == null) {
-        ensureNoticesIsMutable();
-        notices_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        noticesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder addAllNotices(
-        java.lang.Iterable<? extends org.comfreyslip.wire.EndpointNotice> values) {
-      if (noticesBuilder_ == null) {
-        ensureNoticesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, notices_);
-        onChanged();
-      } else {
-        noticesBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder clearNotices() {
-      if (noticesBuilder_ == null) {
-        notices_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-      } else {
-        noticesBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public Builder removeNotices(int index) {
-      if (noticesBuilder_ == null) {
-        ensureNoticesIsMutable();
-        notices_.remove(index);
-        onChanged();
-      } else {
-        noticesBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public org.comfreyslip.wire.EndpointNotice.Builder getNoticesBuilder(
-        int index) {
-      return internalGetNoticesFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public org.comfreyslip.wire.EndpointNoticeOrBuilder getNoticesOrBuilder(
-        int index) {
-      if (noticesBuilder_ == null) {
-        return notices_.get(index);  } else {
-        return noticesBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public java.util.List<? extends org.comfreyslip.wire.EndpointNoticeOrBuilder> 
-         getNoticesOrBuilderList() {
-      if (noticesBuilder_ != null) {
-        return noticesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(notices_);
-      }
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public org.comfreyslip.wire.EndpointNotice.Builder addNoticesBuilder() {
-      return internalGetNoticesFieldBuilder().addBuilder(
-          org.comfreyslip.wire.EndpointNotice.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public org.comfreyslip.wire.EndpointNotice.Builder addNoticesBuilder(
-        int index) {
-      return internalGetNoticesFieldBuilder().addBuilder(
-          index, org.comfreyslip.wire.EndpointNotice.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .comfreyslip.v1.EndpointNotice notices = 4;</code>
-     */
-    public java.util.List<org.comfreyslip.wire.EndpointNotice.Builder> 
-         getNoticesBuilderList() {
-      return internalGetNoticesFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.comfreyslip.wire.EndpointNotice, org.comfreyslip.wire.EndpointNotice.Builder, org.comfreyslip.wire.EndpointNoticeOrBuilder> 
-        internalGetNoticesFieldBuilder() {
-      if (noticesBuilder_ == null) {
-        noticesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.comfreyslip.wire.EndpointNotice, org.comfreyslip.wire.EndpointNotice.Builder, org.comfreyslip.wire.EndpointNoticeOrBuilder>(
-                notices_,
-                ((bitField0_ & 0x00000008) != 0),
-                getParentForChildren(),
-                isClean());
-        notices_ = null;
-      }
-      return noticesBuilder_;
-    }
 
     // @@protoc_insertion_point(builder_scope:comfreyslip.v1.ExchangeRequest)
   }
--- a/comfreyslip-messages/src/main/java/org/comfreyslip/wire/FetchConfigReply.java
+++ b/comfreyslip-messages/src/main/java/org/comfreyslip/wire/FetchConfigReply.java
@@ -30,6 +30,7 @@
   private FetchConfigReply() {
     digest_ = "";
     text_ = com.google.protobuf.ByteString.EMPTY;
+    difference_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -121,7 +122,7 @@
   private com.google.protobuf.ByteString text_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * The whole text, compressed, or empty if the digest is known.
+   * The whole text, compressed, or empty if the digest is known or a difference is given.
    * </pre>
    *
    * <code>bytes text = 5;</code>
@@ -132,6 +133,36 @@
     return text_;
   }
 
+  public static final int DIFFERENCE_FIELD_NUMBER = 6;
+  private com.google.protobuf.ByteString difference_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The difference from the known text, compressed, or empty.
+   * </pre>
+   *
+   * <code>bytes difference = 6;</code>
+   * @return The difference.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDifference() {
+    return difference_;
+  }
+
+  public static final int PRESENT_FIELD_NUMBER = 7;
+  private boolean present_ = false;
+  /**
+   * <pre>
+   * Whether the asked daemon has a configuration; the other fields are unset otherwise.
+   * </pre>
+   *
+   * <code>bool present = 7;</code>
+   * @return The present.
+   */
+  @java.lang.Override
+  public boolean getPresent() {
+    return present_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -161,6 +192,12 @@
     if (!text_.isEmpty()) {
       output.writeBytes(5, text_);
     }
+    if (!difference_.isEmpty()) {
+      output.writeBytes(6, difference_);
+    }
+    if (present_ != false) {
+      output.writeBool(7, present_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -189,6 +226,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(5, text_);
     }
+    if (!difference_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(6, difference_);
+    }
+    if (present_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, present_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -214,6 +259,10 @@
         != other.getFoldedUpTo()) return false;
     if (!getText()
         .equals(other.getText())) return false;
+    if (!getDifference()
+        .equals(other.getDifference())) return false;
+    if (getPresent()
+        != other.getPresent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -238,6 +287,11 @@
         getFoldedUpTo());
     hash = (37 * hash) + TEXT_FIELD_NUMBER;
     hash = (53 * hash) + getText().hashCode();
+    hash = (37 * hash) + DIFFERENCE_FIELD_NUMBER;
+    hash = (53 * hash) + getDifference().hashCode();
+    hash = (37 * hash) + PRESENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getPresent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -374,6 +428,8 @@
       digest_ = "";
       foldedUpTo_ = 0L;
       text_ = com.google.protobuf.ByteString.EMPTY;
+      difference_ = com.google.protobuf.ByteString.EMPTY;
+      present_ = false;
       return this;
     }
 
@@ -422,6 +478,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.text_ = text_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.difference_ = difference_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.present_ = present_;
+      }
     }
 
     @java.lang.Override
@@ -453,6 +515,12 @@
       if (!other.getText().isEmpty()) {
         setText(other.getText());
       }
+      if (!other.getDifference().isEmpty()) {
+        setDifference(other.getDifference());
+      }
+      if (other.getPresent() != false) {
+        setPresent(other.getPresent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -504,6 +572,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              difference_ = input.readBytes();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 56: {
+              present_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -692,7 +770,7 @@
     private com.google.protobuf.ByteString text_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * The whole text, compressed, or empty if the digest is known.
+     * The whole text, compressed, or empty if the digest is known or a difference is given.
      * </pre>
      *
      * <code>bytes text = 5;</code>
@@ -704,7 +782,7 @@
     }
     /**
      * <pre>
-     * The whole text, compressed, or empty if the digest is known.
+     * The whole text, compressed, or empty if the digest is known or a difference is given.
      * </pre>
      *
      * <code>bytes text = 5;</code>
@@ -720,7 +798,7 @@
     }
     /**
      * <pre>
-     * The whole text, compressed, or empty if the digest is known.
+     * The whole text, compressed, or empty if the digest is known or a difference is given.
      * </pre>
      *
      * <code>bytes text = 5;</code>
@@ -733,6 +811,94 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString difference_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The difference from the known text, compressed, or empty.
+     * </pre>
+     *
+     * <code>bytes difference = 6;</code>
+     * @return The difference.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDifference() {
+      return difference_;
+    }
+    /**
+     * <pre>
+     * The difference from the known text, compressed, or empty.
+     * </pre>
+     *
+     * <code>bytes difference = 6;</code>
+     * @param value The difference to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDifference(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      difference_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The difference from the known text, compressed, or empty.
+     * </pre>
+     *
+     * <code>bytes difference = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDifference() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      difference_ = getDefaultInstance().getDifference();
+      onChanged();
+      return this;
+    }
+
+    private boolean present_ ;
+    /**
+     * <pre>
+     * Whether the asked daemon has a configuration; the other fields are unset otherwise.
+     * </pre>
+     *
+     * <code>bool present = 7;</code>
+     * @return The present.
+     */
+    @java.lang.Override
+    public boolean getPresent() {
+      return present_;
+    }
+    /**
+     * <pre>
+     * Whether the asked daemon has a configuration; the other fields are unset otherwise.
+     * </pre>
+     *
+     * <code>bool present = 7;</code>
+     * @param value The present to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPresent(boolean value) {
+
+      present_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the asked daemon has a configuration; the other fields are unset otherwise.
+     * </pre>
+     *
+     * <code>bool present = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPresent() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      present_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:comfreyslip.v1.FetchConfigReply)
   }
 
--- a/comfreyslip-messages/src/main/java/org/comfreyslip/wire/FetchConfigReplyOrBuilder.java
+++ b/comfreyslip-messages/src/main/java/org/comfreyslip/wire/FetchConfigReplyOrBuilder.java
@@ -42,11 +42,31 @@
 
   /**
    * <pre>
-   * The whole text, compressed, or empty if the digest is known.
+   * The whole text, compressed, or empty if the digest is known or a difference is given.
    * </pre>
    *
    * <code>bytes text = 5;</code>
    * @return The text.
    */
   com.google.protobuf.ByteString getText();
+
+  /**
+   * <pre>
+   * The difference from the known text, compressed, or empty.
+   * </pre>
+   *
+   * <code>bytes difference = 6;</code>
+   * @return The difference.
+   */
+  com.google.protobuf.ByteString getDifference();
+
+  /**
+   * <pre>
+   * Whether the asked daemon has a configuration; the other fields are unset otherwise.
+   * </pre>
+   *
+   * <code>bool present = 7;</code>
+   * @return The present.
+   */
+  boolean getPresent();
 }
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/DaemonSettings.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/DaemonSettings.java
@@ -51,7 +51,8 @@
 	}
 
 	private static PlatformSection platform(CheckedSection section) {
-		return new PlatformSection(section.text("log"), section.text("host-list"), section.text("weight-store"));
+		return new PlatformSection(section.text("log"), section.text("host-list"), section.text("weight-store"),
+				section.number("log-retention-ms", PlatformSection.DEFAULT_LOG_RETENTION_MILLIS));
 	}
 
 	private static TlsSection tls(CheckedSection section) {
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/DaemonSettingsSchema.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/DaemonSettingsSchema.java
@@ -9,6 +9,13 @@
 
 	private static final int MAX_BALANCER_LAG_MILLIS = 600_000;
 
+	/**
+	 * Below this the lease and checkpoint intervals leave no time for a repeated append.
+	 */
+	private static final int MIN_LOG_RETENTION_MILLIS = 10_000;
+
+	private static final int MAX_LOG_RETENTION_MILLIS = 604_800_000;
+
 	private static final int MAX_DRAIN_DEADLINE_MILLIS = 86_400_000;
 
 	static final SectionRule DAEMON = new SectionRule("daemon", 0, true, List.of(
@@ -24,7 +31,10 @@
 
 	static final SectionRule PLATFORM = new SectionRule("platform", 0, true,
 			List.of(KeyRule.required("log", ValueRules.address()), KeyRule.required("host-list", ValueRules.address()),
-					KeyRule.required("weight-store", ValueRules.address())));
+					KeyRule.required("weight-store", ValueRules.address()),
+					KeyRule.optional("log-retention-ms",
+							ValueRules.integer(MIN_LOG_RETENTION_MILLIS, MAX_LOG_RETENTION_MILLIS, "milliseconds"),
+							String.valueOf(PlatformSection.DEFAULT_LOG_RETENTION_MILLIS))));
 
 	static final SectionRule TLS = new SectionRule("tls", 0, false,
 			List.of(KeyRule.required("certificate", ValueRules.filePath()),
--- a/comfreyslip-settings/src/test/java/org/comfreyslip/settings/DaemonSettingsTests.java
+++ b/comfreyslip-settings/src/test/java/org/comfreyslip/settings/DaemonSettingsTests.java
@@ -37,7 +37,8 @@
 		assertThat(settings.daemon().drainDeadlineMillis()).isEqualTo(600_000);
 		assertThat(settings.daemon().peers()).isEmpty();
 		assertThat(settings.daemon().adminListen()).isEqualTo("[::1]:7002");
-		assertThat(settings.platform()).isEqualTo(new PlatformSection("10.0.1.1:80", "10.0.1.2:80", "10.0.1.3:80"));
+		assertThat(settings.platform())
+			.isEqualTo(new PlatformSection("10.0.1.1:80", "10.0.1.2:80", "10.0.1.3:80", 10_800_000));
 		assertThat(settings.tls()).isEqualTo(Optional.empty());
 	}
 
@@ -59,6 +60,7 @@
 			log = 10.0.1.1  | log = log.local       | [platform] log
 			log = 10.0.1.1  | logs = 10.0.1.1       | [platform] logs
 			region = si-central | balancer-lag-ms = 5s | [daemon] balancer-lag-ms
+			log = 10.0.1.1  | log-retention-ms = 9999 | [platform] log-retention-ms
 			region = si-central | peers = 10.0.0.2  | [daemon] peers
 			region = si-central | #                 | [daemon] region: found no value
 			[platform]      | [tls]\\nkey = a\\n[platform] | [tls] certificate
