Give engines the versions and adapters of the text under the maintenance lease

Nobody loaded a version or adapter after an operator changed the text. The lease holder now reads the engines' states, asks the weight store and gives the orders with its fencing number.

The first read of the configuration stream no longer waits: a proposal on an empty stream counted as part of the start and was not audited. A daemon that can read the log takes versions only from it for the same reason.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.comfreyslip.coordination.audit.AuditChain;
@@ -33,6 +35,7 @@
 import org.comfreyslip.daemon.http.CallerServer;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.order.MaintenanceLease;
+import org.comfreyslip.daemon.order.PlacementService;
 import org.comfreyslip.daemon.peer.PeerNode;
 import org.comfreyslip.daemon.route.EngineClients;
 import org.comfreyslip.daemon.route.LoadProber;
@@ -40,6 +43,7 @@
 import org.comfreyslip.platform.PlatformHttp;
 import org.comfreyslip.platform.hosts.HostListClient;
 import org.comfreyslip.platform.log.LogClient;
+import org.comfreyslip.platform.weights.WeightStoreClient;
 import org.comfreyslip.settings.DaemonSection;
 import org.comfreyslip.settings.DaemonSettings;
 
@@ -118,10 +122,14 @@
 		this.claims = new ClaimLog(log, run, policy, this.timer, this.workers, this.clock, System::currentTimeMillis);
 		this.holder.addListener((config) -> this.tables.apply(config, this.clock.getAsLong()));
 		RequestJournal journal = new RequestJournal(JOURNAL_REQUESTS);
-		this.peers = new PeerNode(self, new PeerNode.Parts(this.holder, this::onNewerConfig, journal, this.admission,
-				this.tables, this::onEndpointNotice, this.timer, this.clock));
+		this.peers = new PeerNode(self, new PeerNode.Parts(this.holder, this::onNewerConfig, this::followsPeers,
+				journal, this.admission, this.tables, this::onEndpointNotice, this.timer, this.clock));
 		this.auditLog = new AuditLog(log, new AuditChain(self.name(), this.peers.self().incarnation()),
 				System::currentTimeMillis);
+		Gauge.builder("comfreyslip.live.daemons", this.peers, PeerNode::liveDaemons).register(this.registry);
+		FunctionCounter.builder("comfreyslip.peer.sent.bytes", this.peers, PeerNode::sentBytes).register(this.registry);
+		FunctionCounter.builder("comfreyslip.peer.received.bytes", this.peers, PeerNode::receivedBytes)
+			.register(this.registry);
 		this.audit = new AuditTrail(this.auditLog, this::recordsConfig);
 		this.lease = new MaintenanceLease(log, run, this.peers::isLogReader, this.audit::onLease, this.clock);
 		this.follower = new ConfigFollower(log, this.holder, PeerNode.otherPeers(self), this.peers, this.timer,
@@ -200,6 +208,11 @@
 		this.lease.start(this.timer);
 		this.checkpointer.start(this.timer);
 		this.auditLog.start(this.timer);
+		WeightStoreClient weights = new WeightStoreClient(this.http, this.settings.platform().weightStore(),
+				PLATFORM_LIMIT_MILLIS);
+		new PlacementService(new PlacementService.Parts(this.settings.daemon().name(), this.lease, this.holder, engines,
+				this.tables, weights, this.audit::onOrder, this.clock))
+			.start(this.timer);
 		this.timer.scheduleWithFixedDelay(() -> this.audit.onRefusals(this.admission.takeRefusals()), REFUSAL_SECONDS,
 				REFUSAL_SECONDS, TimeUnit.SECONDS);
 		this.claims.start();
@@ -214,6 +227,10 @@
 		this.follower.onPeerState(snapshot);
 	}
 
+	private boolean followsPeers() {
+		return !this.peers.isLogReader() || !this.follower.isLogAvailable();
+	}
+
 	private void onEndpointNotice(EndpointNotice notice) {
 		this.audit.onEndpoint(notice);
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -79,6 +79,12 @@
 	/** A checkpoint could not be appended. */
 	CHECKPOINT_FAILED(6005, Level.WARNING, "checkpoint of configuration %s could not be written: %s"),
 
+	/** An order to an engine was begun. */
+	ORDER_BEGUN(6006, Level.INFO, "order %s begun"),
+
+	/** An order to an engine ended. */
+	ORDER_ENDED(6007, Level.INFO, "order %s ended: %s"),
+
 	/** The audit stream cannot be written. */
 	AUDIT_LOG_UNAVAILABLE(7001, Level.WARNING, "the audit stream is unavailable, %s entries wait: %s"),
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditTrail.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditTrail.java
@@ -65,6 +65,15 @@
 		reasons.forEach((reason, count) -> this.log.add(Kind.REFUSALS, reason, Long.toString(count)));
 	}
 
+	/**
+	 * Records the outcome of an order.
+	 * @param engine the engine's name
+	 * @param detail the order and its outcome
+	 */
+	public void onOrder(String engine, String detail) {
+		this.log.add(Kind.ORDER_ANSWERED, engine, detail);
+	}
+
 	/**
 	 * Records a phase of the shutdown.
 	 * @param daemon the daemon's name
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
@@ -56,7 +56,9 @@
 
 	private ConfigFold fold;
 
-	private boolean logAvailable = true;
+	private volatile boolean logAvailable = true;
+
+	private boolean started;
 
 	private volatile boolean stopped;
 
@@ -107,6 +109,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the last read of the log succeeded.
+	 * @return {@code false} while the log is down; {@code true} before the first read
+	 */
+	public boolean isLogAvailable() {
+		return this.logAvailable;
+	}
+
 	/**
 	 * Returns the state that this daemon has reached.
 	 * @return the state, or empty before there is one
@@ -124,7 +134,12 @@
 			return;
 		}
 		long from = nextOffset();
-		this.log.read(STREAM, from, PAGE_RECORDS, POLL_MILLIS).whenComplete((page, ex) -> {
+		// The first read does not wait, so that an empty stream is known as such at once
+		// and
+		// the first proposal is a new record, not part of the start.
+		long wait = this.started ? POLL_MILLIS : 0;
+		this.started = true;
+		this.log.read(STREAM, from, PAGE_RECORDS, wait).whenComplete((page, ex) -> {
 			if (ex != null) {
 				onUnavailable(ex);
 				return;
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/OrderGoal.java
@@ -0,0 +1,60 @@
+package org.comfreyslip.daemon.order;
+
+import org.comfreyslip.platform.engine.EngineOrder;
+import org.comfreyslip.platform.engine.EngineState;
+import org.comfreyslip.platform.engine.OrderAction;
+import org.comfreyslip.routing.placement.PlacementOrder;
+import org.comfreyslip.routing.placement.PlacementOrder.LoadAdapter;
+import org.comfreyslip.routing.placement.PlacementOrder.LoadRange;
+
+/**
+ * The end state that an order asks for.
+ */
+final class OrderGoal {
+
+	/**
+	 * Size of the weights of one layer that the weight store is told. The text does not
+	 * state sizes; this is the order of magnitude of a layer of a model that no single
+	 * host can hold.
+	 */
+	private static final long LAYER_BYTES = 500_000_000L;
+
+	private static final long ADAPTER_BYTES = 100_000_000L;
+
+	private final PlacementOrder order;
+
+	OrderGoal(PlacementOrder order) {
+		this.order = order;
+	}
+
+	String engine() {
+		return this.order.engine();
+	}
+
+	long bytes() {
+		return (this.order instanceof LoadRange range) ? range.layers().count() * LAYER_BYTES : ADAPTER_BYTES;
+	}
+
+	boolean isReachedBy(EngineState state) {
+		if (this.order instanceof LoadRange range) {
+			return range.model().equals(state.model()) && range.version().equals(state.version())
+					&& range.layers().first() == state.firstLayer() && range.layers().end() == state.endLayer();
+		}
+		return this.order instanceof LoadAdapter adapter && state.adapters().contains(adapter.adapter());
+	}
+
+	EngineOrder message(long fence) {
+		if (this.order instanceof LoadRange range) {
+			return new EngineOrder(fence, OrderAction.LOAD_MODEL, range.model(), range.version(), null,
+					range.layers().first(), range.layers().end(), null);
+		}
+		LoadAdapter adapter = (LoadAdapter) this.order;
+		return new EngineOrder(fence, OrderAction.LOAD_ADAPTER, null, null, adapter.adapter(), 0, 0, null);
+	}
+
+	@Override
+	public String toString() {
+		return this.order.toString();
+	}
+
+}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -88,7 +89,9 @@
 		spreadNews(now);
 		onMembers(now);
 		membership.due(now).forEach(this::exchange);
-		membership.newerThan(version, now).ifPresent((member) -> this.parts.catchUp().moveTo(member.address()));
+		if (this.parts.followsPeers().getAsBoolean()) {
+			membership.newerThan(version, now).ifPresent((member) -> this.parts.catchUp().moveTo(member.address()));
+		}
 	}
 
 	private void spreadNews(long now) {
@@ -149,13 +152,15 @@
 	 * @param holder the configuration in force
 	 * @param admission where live daemons are counted
 	 * @param tables the endpoints
+	 * @param followsPeers whether newer configurations are taken from peers; a daemon
+	 * that reads the log takes them from there, so that it sees each decision
 	 * @param noticeListener hears of this daemon's own notices
 	 * @param timer runs the exchanges
 	 * @param clock the monotonic clock, in ns
 	 */
 	record Parts(PeerMembership membership, PeerClients clients, AccountUse usage, ConfigCatchUp catchUp,
-			ConfigHolder holder, Admission admission, RoutingTables tables, Consumer<EndpointNotice> noticeListener,
-			ScheduledExecutorService timer, LongSupplier clock) {
+			ConfigHolder holder, Admission admission, RoutingTables tables, BooleanSupplier followsPeers,
+			Consumer<EndpointNotice> noticeListener, ScheduledExecutorService timer, LongSupplier clock) {
 	}
 
 }
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerNode.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerNode.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -64,7 +65,7 @@
 		this.search = new PeerRequestSearch(this.membership, clients, this.clock);
 		this.gossip = new GossipService(new GossipService.Parts(this.membership, clients,
 				new AccountUse(parts.holder(), parts.admission()), this.catchUp, parts.holder(), parts.admission(),
-				parts.tables(), parts.noticeListener(), parts.timer(), this.clock));
+				parts.tables(), parts.followsPeers(), parts.noticeListener(), parts.timer(), this.clock));
 		service.serve(this.gossip);
 	}
 
@@ -109,6 +110,22 @@
 		return this.membership.liveDaemons(this.clock.getAsLong());
 	}
 
+	/**
+	 * Returns the bytes of messages sent to peers.
+	 * @return the count since the start, without HTTP/2 headers
+	 */
+	public long sentBytes() {
+		return this.transport.traffic().sent();
+	}
+
+	/**
+	 * Returns the bytes of messages received from peers.
+	 * @return the count since the start, without HTTP/2 headers
+	 */
+	public long receivedBytes() {
+		return this.transport.traffic().received();
+	}
+
 	/**
 	 * Returns whether this daemon reads the log for configuration.
 	 * @return {@code true} for the selected readers, and while gossip is silent
@@ -150,6 +167,7 @@
 	 *
 	 * @param holder the configuration in force
 	 * @param newerConfig takes a newer configuration of a peer
+	 * @param followsPeers whether newer configurations are taken from peers
 	 * @param journal the record of requests
 	 * @param admission the shares of client accounts
 	 * @param tables the endpoints
@@ -157,8 +175,8 @@
 	 * @param timer runs the exchanges
 	 * @param clock the monotonic clock, in ns
 	 */
-	public record Parts(ConfigHolder holder, Consumer<ConfigSnapshot> newerConfig, RequestJournal journal,
-			Admission admission, RoutingTables tables, Consumer<EndpointNotice> noticeListener,
+	public record Parts(ConfigHolder holder, Consumer<ConfigSnapshot> newerConfig, BooleanSupplier followsPeers,
+			RequestJournal journal, Admission admission, RoutingTables tables, Consumer<EndpointNotice> noticeListener,
 			ScheduledExecutorService timer, LongSupplier clock) {
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerTransport.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerTransport.java
@@ -39,6 +39,8 @@
 
 	private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
 
+	private final PeerTraffic traffic = new PeerTraffic();
+
 	private final Server server;
 
 	PeerTransport(String listen, BindableService service) {
@@ -48,6 +50,7 @@
 			.channelType(NioServerSocketChannel.class)
 			.executor(this.calls)
 			.maxInboundMessageSize(PeerLimits.EXCHANGE_BYTES)
+			.addStreamTracerFactory(this.traffic.server())
 			.addService(service)
 			.build();
 		try {
@@ -63,6 +66,10 @@
 		return this.server.getPort();
 	}
 
+	PeerTraffic traffic() {
+		return this.traffic;
+	}
+
 	ManagedChannel channel(String address) {
 		return this.channels.computeIfAbsent(address, this::connect);
 	}
@@ -88,6 +95,7 @@
 			.channelType(NioSocketChannel.class)
 			.executor(this.calls)
 			.usePlaintext()
+			.intercept(this.traffic.client())
 			.disableRetry()
 			.idleTimeout(IDLE_SECONDS, TimeUnit.SECONDS)
 			.build();
--- /dev/null
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/order/MaintenanceLeaseTests.java
@@ -0,0 +1,89 @@
+package org.comfreyslip.daemon.order;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.comfreyslip.daemon.DaemonGroup;
+import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.platform.log.LogClient;
+import org.comfreyslip.standins.StandinKind;
+import org.comfreyslip.standins.StandinServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Two contenders on a clock of the test, one of which is paused.
+ */
+class MaintenanceLeaseTests {
+
+	private static final long STEP_NANOS = 200_000_000L;
+
+	private final AtomicLong clock = new AtomicLong();
+
+	private final StandinServer log = StandinServer.start(StandinKind.LOG);
+
+	private final PlatformHttp http = new PlatformHttp();
+
+	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+
+	private final AtomicBoolean firstRuns = new AtomicBoolean(true);
+
+	@AfterEach
+	void close() {
+		this.timer.shutdownNow();
+		this.http.close();
+		this.log.close();
+	}
+
+	/** Guards against two holders after a pause that the first one does not notice. */
+	@Test
+	void aPausedHolderIsReplacedAndDoesNotTrustItsLeaseAfterwards() {
+		MaintenanceLease first = contender("first", this.firstRuns);
+		advanceUntilValid(first, first);
+		long oldFence = fence(first);
+		MaintenanceLease second = contender("second", new AtomicBoolean(true));
+		this.firstRuns.set(false);
+		advanceUntilValid(second, first);
+		assertThat(first.isValid()).isFalse();
+		assertThat(fence(second)).isGreaterThan(oldFence);
+		this.firstRuns.set(true);
+		DaemonGroup.await().until(first::hasHolder);
+		assertThat(first.isValid()).isFalse();
+	}
+
+	/** Guards against a lease time that passes without holder after an orderly stop. */
+	@Test
+	void aHolderThatStopsLeavesTheLeaseFree() {
+		MaintenanceLease first = contender("first", this.firstRuns);
+		advanceUntilValid(first, first);
+		MaintenanceLease second = contender("second", new AtomicBoolean(true));
+		first.stop().join();
+		DaemonGroup.await().until(second::isValid);
+	}
+
+	private MaintenanceLease contender(String name, AtomicBoolean runs) {
+		MaintenanceLease lease = new MaintenanceLease(new LogClient(this.http, this.log.address(), 2_000), name,
+				runs::get, (changed, detail) -> {
+				}, this.clock::get);
+		lease.start(this.timer);
+		return lease;
+	}
+
+	private void advanceUntilValid(MaintenanceLease wanted, MaintenanceLease other) {
+		DaemonGroup.await().until(() -> {
+			this.clock.addAndGet(STEP_NANOS);
+			boolean valid = wanted.isValid();
+			assertThat(valid && wanted != other && other.isValid()).isFalse();
+			return valid;
+		});
+	}
+
+	private long fence(MaintenanceLease lease) {
+		return lease.with((holder) -> holder.fence(this.clock.get()));
+	}
+
+}
