Exchange each second, and announce the end of a daemon at once

Exchanges are due a second after the last one, but the timer also ran each second: a tick that came slightly early left its exchange to the next one. The timer now runs every 200 ms, heartbeats stay at one a second.

An announcement waited for an open exchange with the same peer and was left out. It is now sent beside it and never counted as confirmed.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 
 import org.comfreyslip.coordination.membership.EndpointNotice;
+import org.comfreyslip.coordination.membership.Member;
 import org.comfreyslip.coordination.membership.MemberReport.Phase;
 import org.comfreyslip.coordination.membership.MembershipDelta;
 import org.comfreyslip.daemon.DaemonEvent;
@@ -24,7 +25,13 @@
  */
 final class GossipService {
 
-	private static final long TICK_MILLIS = 1_000;
+	/**
+	 * Exchanges are due a second after the last one. With ticks of a second, each one
+	 * that comes slightly early would delay its exchange to the next.
+	 */
+	private static final long TICK_MILLIS = 200;
+
+	private static final long BEAT_NANOS = 1_000_000_000L;
 
 	/**
 	 * An announcement reaches at least one peer that lives even if two others just died.
@@ -37,8 +44,11 @@
 
 	private Set<String> others = Set.of();
 
+	private long nextBeat;
+
 	GossipService(Parts parts) {
 		this.parts = parts;
+		this.nextBeat = parts.clock().getAsLong();
 	}
 
 	void start() {
@@ -53,7 +63,7 @@
 	byte[] answer(byte[] bytes) {
 		MembershipDelta delta = MembershipDelta.decode(bytes);
 		apply(delta);
-		return this.parts.membership().replyTo(delta.from(), this.parts.usage().own());
+		return this.parts.membership().unconfirmedFor(delta.from(), this.parts.usage().own());
 	}
 
 	/**
@@ -68,10 +78,21 @@
 			.others(now)
 			.stream()
 			.limit(ANNOUNCED_PEERS)
-			.map((member) -> exchange(PeerTarget.of(member)))
+			.map(this::tell)
 			.toArray(CompletableFuture[]::new));
 	}
 
+	// An exchange that is open with the peer began before the announcement, so that this
+	// one
+	// does not wait for it. It is never confirmed: its content is sent again.
+	private CompletableFuture<Void> tell(Member peer) {
+		byte[] delta = this.parts.membership().unconfirmedFor(peer.name(), this.parts.usage().own());
+		return this.parts.clients()
+			.exchange(peer.address(), delta)
+			.thenAccept((reply) -> apply(MembershipDelta.decode(reply)))
+			.exceptionally((ex) -> null);
+	}
+
 	private void tickSafely() {
 		try {
 			tick();
@@ -83,12 +104,19 @@
 
 	private void tick() {
 		long now = now();
+		if (now - this.nextBeat >= 0) {
+			this.nextBeat += BEAT_NANOS;
+			beat(now);
+		}
+		this.parts.membership().due(now).forEach(this::exchange);
+	}
+
+	private void beat(long now) {
 		PeerMembership membership = this.parts.membership();
 		long version = this.parts.holder().accepted().version().number();
 		membership.tick(now, version);
 		spreadNews(now);
 		onMembers(now);
-		membership.due(now).forEach(this::exchange);
 		if (this.parts.followsPeers().getAsBoolean()) {
 			membership.newerThan(version, now).ifPresent((member) -> this.parts.catchUp().moveTo(member.address()));
 		}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerMembership.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerMembership.java
@@ -91,7 +91,14 @@
 		return this.table.merge(delta, now);
 	}
 
-	synchronized byte[] replyTo(String peer, List<AccountUsage> usage) {
+	/**
+	 * Returns a difference that is never confirmed, for a reply or an announcement. Its
+	 * content is sent again with the next exchange that this daemon begins.
+	 * @param peer the peer's name
+	 * @param usage use of client accounts on this daemon
+	 * @return the difference to send
+	 */
+	synchronized byte[] unconfirmedFor(String peer, List<AccountUsage> usage) {
 		this.repliedMeanwhile.add(peer);
 		return this.table.deltaFor(peer, usage).encode();
 	}
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonPeersTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonPeersTests.java
@@ -112,8 +112,8 @@
 	void anAcceptedConfigurationIsRecordedOnceAndATamperedRecordIsFound() {
 		this.group = new DaemonGroup();
 		Daemon first = this.group.start("d1");
-		this.group.start("d2", address(first));
-		DaemonGroup.await().until(() -> first.lease().isValid() && first.peers().liveDaemons() == 2);
+		Daemon second = this.group.start("d2", address(first));
+		DaemonGroup.await().until(() -> first.lease().isValid() && second.lease().hasHolder());
 		this.group.propose(DaemonGroup.text(1));
 		this.group.awaitVersion("d1", 1);
 		this.group.awaitVersion("d2", 1);
