--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminReports.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminReports.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -61,12 +62,8 @@
 				graph.rootCauses(DependencyNode.service(service), down));
 	}
 
-	AdminExplanation explain(String request) {
-		return this.parts.journal()
-			.find(request)
-			.map((found) -> new AdminExplanation(this.parts.daemon(), found))
-			.orElseThrow(() -> new CodedException(ErrorCode.NOT_FOUND,
-					"request " + request + " is not in the record of daemon " + this.parts.daemon()));
+	Optional<AdminExplanation> explain(String request) {
+		return this.parts.journal().find(request).map((found) -> new AdminExplanation(this.parts.daemon(), found));
 	}
 
 	private ConfigInForce inForce() {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.daemon.admin;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -19,6 +20,7 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestJournal;
+import org.comfreyslip.daemon.journal.RequestSearch;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.platform.ErrorBody;
 import org.comfreyslip.platform.PlatformJson;
@@ -79,7 +81,7 @@
 			return context.send(this.parts.registry().scrape());
 		});
 		report("GET", "/admin/status", (context) -> this.reports.status());
-		report("GET", "/admin/explain/{request}", (context) -> this.reports.explain(context.path("request").value()));
+		route("GET", "/admin/explain/{request}", this::explain);
 		report("GET", "/admin/impact/{service}", (context) -> this.reports.impact(context.path("service").value()));
 		report("GET", "/admin/config", this::config);
 		report("POST", "/admin/drain", this::drain);
@@ -105,6 +107,21 @@
 		return json(context, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
 	}
 
+	private Context explain(Context context) {
+		String id = context.path("request").value();
+		Optional<AdminExplanation> own = this.reports.explain(id);
+		if (own.isPresent()) {
+			return json(context, OK, own.get());
+		}
+		this.parts.search()
+			.find(id)
+			.thenAccept((found) -> found.map((other) -> json(context, OK, other))
+				.orElseGet(
+						() -> json(context, ErrorCode.NOT_FOUND.httpStatus(), new ErrorBody(ErrorCode.NOT_FOUND.name(),
+								"request " + id + " is not in the record of any daemon that answered"))));
+		return context;
+	}
+
 	// The text lists accounts and addresses, which callers that reach the port need not
 	// know.
 	private AdminConfig config(Context context) {
@@ -145,12 +162,13 @@
 	 * @param drainer starts the shutdown
 	 * @param tables the endpoint table
 	 * @param journal the record of requests
+	 * @param search searches the other daemons for a request
 	 * @param registry the metrics
 	 * @param clock the monotonic clock, in ns
 	 */
 	public record Parts(String daemon, ConfigHolder holder, BooleanSupplier claimsRead, DrainController drain,
-			Runnable drainer, RoutingTables tables, RequestJournal journal, PrometheusMeterRegistry registry,
-			LongSupplier clock) {
+			Runnable drainer, RoutingTables tables, RequestJournal journal, RequestSearch search,
+			PrometheusMeterRegistry registry, LongSupplier clock) {
 	}
 
 }
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/admin/AdminReportsTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/admin/AdminReportsTests.java
@@ -1,7 +1,9 @@
 package org.comfreyslip.daemon.admin;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -45,8 +47,9 @@
 	private final DrainController drain = new DrainController(10, 20);
 
 	private final AdminReports reports = new AdminReports(
-			new AdminServer.Parts("entry-1", this.holder, this.drain, () -> this.drain.onSignal(0), this.tables,
-					new RequestJournal(1), new PrometheusMeterRegistry(PrometheusConfig.DEFAULT), () -> 0L));
+			new AdminServer.Parts("entry-1", this.holder, () -> true, this.drain, () -> this.drain.onSignal(0),
+					this.tables, new RequestJournal(1), (id) -> CompletableFuture.completedFuture(Optional.empty()),
+					new PrometheusMeterRegistry(PrometheusConfig.DEFAULT), () -> 0L));
 
 	AdminReportsTests() {
 		this.holder.addListener((config) -> this.tables.apply(config, 0));
