Close channels to daemons that are gone, and measure CPU by thread

Each run of a daemon has a new address, so channels and back-off entries of replaced daemons piled up. The measurement counted the whole process, whose stand-ins hid the cost of the exchange.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/GossipService.java
@@ -137,6 +137,9 @@
 		this.others.stream()
 			.filter((name) -> !names.contains(name))
 			.forEach((name) -> DaemonEvent.MEMBER_GONE.log(name, this.parts.membership().state(name, now)));
+		if (!names.equals(this.others)) {
+			this.parts.clients().retain(this.parts.membership().knownAddresses(now));
+		}
 		this.others = names;
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerBackoff.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerBackoff.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +29,10 @@
 		this.waits.put(address, new Wait(now + length, length));
 	}
 
+	synchronized void retain(Set<String> addresses) {
+		this.waits.keySet().retainAll(addresses);
+	}
+
 	synchronized void onSuccess(String address) {
 		this.waits.remove(address);
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerClients.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerClients.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.daemon.peer;
 
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -54,6 +55,11 @@
 				(stub, reply) -> stub.findRequest(request, reply));
 	}
 
+	void retain(Set<String> addresses) {
+		this.transport.retain(addresses);
+		this.backoff.retain(addresses);
+	}
+
 	private <T> CompletableFuture<T> call(String address, long limitMillis, int maxBytes,
 			BiConsumer<PeerStub, StreamObserver<T>> method) {
 		if (!this.backoff.isDue(address, this.clock.getAsLong())) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerMembership.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerMembership.java
@@ -129,9 +129,9 @@
 		return this.table.state(name, now);
 	}
 
-	synchronized Set<String> knownAddresses() {
-		Set<String> addresses = new HashSet<>();
-		this.table.members((state) -> true, 0).forEach((member) -> addresses.add(member.address()));
+	synchronized Set<String> knownAddresses(long now) {
+		Set<String> addresses = new HashSet<>(this.seeds.addresses());
+		this.table.members((state) -> true, now).forEach((member) -> addresses.add(member.address()));
 		return addresses;
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerTransport.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerTransport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -74,10 +75,16 @@
 		return this.channels.computeIfAbsent(address, this::connect);
 	}
 
-	void forget(String address) {
-		ManagedChannel channel = this.channels.remove(address);
-		if (channel != null) {
-			channel.shutdown();
+	/**
+	 * Closes the channels to other addresses. Daemons are replaced all the time, and each
+	 * run has a new address.
+	 * @param addresses the addresses in use
+	 */
+	void retain(Set<String> addresses) {
+		for (String address : this.channels.keySet()) {
+			if (!addresses.contains(address)) {
+				this.channels.remove(address).shutdown();
+			}
 		}
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/SeedSelector.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/SeedSelector.java
@@ -29,6 +29,10 @@
 		this.next = now;
 	}
 
+	List<String> addresses() {
+		return this.addresses;
+	}
+
 	Optional<String> due(Set<String> known, long now) {
 		if (now - this.next < 0) {
 			return Optional.empty();
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/PeerTrafficMeasurement.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/PeerTrafficMeasurement.java
@@ -1,15 +1,17 @@
 package org.comfreyslip.daemon;
 
 import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
 
 import com.sun.management.OperatingSystemMXBean;
 
 /**
- * Measures the messages between idle daemons of one data centre, and the CPU time of a
- * process that runs them together with the platform's stand-ins. Started by hand; its
- * arguments are the numbers of daemons.
+ * Measures the messages between idle daemons of one data centre, the CPU time of their
+ * threads for peers and timers, and that of the process, which also runs the platform's
+ * stand-ins. Started by hand; its arguments are the numbers of daemons.
  */
 public final class PeerTrafficMeasurement {
 
@@ -40,11 +42,16 @@
 			Thread.sleep(WARM_UP_MILLIS);
 			long bytes = bytes(daemons);
 			long cpu = cpuNanos();
+			long peer = threadNanos("peer");
+			long timer = threadNanos("timer");
 			Thread.sleep(MEASURE_MILLIS);
 			double seconds = MEASURE_MILLIS / 1e3;
-			System.out.printf("RESULT daemons %d live %d: %.0f bytes/s sent+received per daemon, process CPU %.2f%%%n",
+			System.out.printf(
+					"RESULT daemons %d live %d: %.0f bytes/s sent+received per daemon, CPU of one core: process "
+							+ "%.2f%%, peer threads per daemon %.3f%%, timers per daemon %.3f%%%n",
 					count, daemons.get(0).peers().liveDaemons(), (bytes(daemons) - bytes) / seconds / count,
-					(cpuNanos() - cpu) / 1e7 / seconds);
+					percent(cpuNanos() - cpu, seconds), percent(threadNanos("peer") - peer, seconds) / count,
+					percent(threadNanos("timer") - timer, seconds) / count);
 		}
 	}
 
@@ -54,6 +61,23 @@
 			.sum();
 	}
 
+	private static double percent(long nanos, double seconds) {
+		return nanos / 1e7 / seconds;
+	}
+
+	// The threads of the daemons of an earlier count have ended by the second reading.
+	private static long threadNanos(String prefix) {
+		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+		long sum = 0;
+		for (long id : threads.getAllThreadIds()) {
+			ThreadInfo info = threads.getThreadInfo(id);
+			if (info != null && info.getThreadName().matches(prefix + "(-io)?-\\d+")) {
+				sum += threads.getThreadCpuTime(id);
+			}
+		}
+		return sum;
+	}
+
 	private static long cpuNanos() {
 		return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
 	}
