--- /dev/null
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the load tool.
+ */
+package org.comfreyslip.load;
--- /dev/null
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Summaries of runs as JSON, CSV and plots.
+ */
+package org.comfreyslip.load.report;
--- /dev/null
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Time, memory and bytes of single parts at several sizes, and the slopes between them.
+ */
+package org.comfreyslip.load.slopes;
