--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/ScenarioRun.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/ScenarioRun.java
@@ -150,11 +150,16 @@
 		for (String endpoint : deployment.endpointAddresses()) {
 			HttpCall call = HttpCall.get(endpoint, "/records").within(AUDIT_LIMIT_MILLIS);
 			JsonNode records = PlatformJson.read(http.send(call).join().body(), JsonNode.class).path("records");
-			records.forEach((stamp) -> keys.add(stamp.path("key").asText("")));
+			records.forEach((stamp) -> keys.add(keyOf(stamp.path("key").asText(""))));
 		}
 		return StampAudit.violations(result.observations(), keys);
 	}
 
+	// Daemons put the account and a dot before the caller's key.
+	private static String keyOf(String scoped) {
+		return scoped.substring(scoped.lastIndexOf('.') + 1);
+	}
+
 	private static double loadAverage() {
 		return ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
 	}
