--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/PlotCommand.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/PlotCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Locale;
 
 import org.apache.commons.cli.CommandLine;
@@ -41,6 +42,10 @@
 		}
 		String measure = line.getOptionValue("measure", "first").toUpperCase(Locale.ROOT);
 		Path file = Path.of(line.getOptionValue("output"));
+		if (Arrays.stream(ResultPlot.Measure.values()).noneMatch((known) -> known.name().equals(measure))) {
+			out.println("unknown measure; usage: " + usage());
+			return ExitCode.USAGE;
+		}
 		ResultPlot.write(CompareCommand.readAll(line.getArgList()), line.getOptionValue("kind", "streamed"),
 				ResultPlot.Measure.valueOf(measure), file);
 		out.println("wrote " + file);
