--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/package-info.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of how a cost grows with the size of the deployment.
+ * Time, memory and bytes of single parts at several sizes, and the slopes between them.
  */
 package org.comfreyslip.load.slopes;
