--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -32,6 +32,11 @@
 	 */
 	private static final int MAX_REQUEST_BYTES = 8 * 1024 * 1024;
 
+	/** Netty's defaults, which Jooby 3.0.9 does not let change. */
+	private static final int MAX_HEADER_BYTES = 8_192;
+
+	private static final int MAX_FIRST_LINE_BYTES = 4_096;
+
 	private static final int IO_THREADS = 2;
 
 	private final Jooby app = new Jooby();
@@ -90,10 +95,28 @@
 	}
 
 	private void route(String method, String pattern, Route.Handler handler) {
-		this.app.route(method, pattern, handler).setReturnType(Context.class);
+		this.app.route(method, pattern, (context) -> (CallerConnection.isMalformed(context)) ? refuseMalformed(context)
+				: handler.apply(context))
+			.setReturnType(Context.class);
+	}
+
+	private static Context refuseMalformed(Context context) {
+		CodedException error = new CallBoundary().notRun(ErrorCode.BAD_REQUEST,
+				"the request is not valid HTTP/1.1 or has a header section over " + MAX_HEADER_BYTES
+						+ " bytes or a first line over " + MAX_FIRST_LINE_BYTES + " bytes",
+				-1);
+		// Netty discards whatever follows on this connection, so it cannot be used again.
+		context.setResponseHeader("Connection", "close");
+		Replies.error(context, error, null);
+		CallerConnection.closeAfterResponse(context);
+		return context;
 	}
 
 	private static void onError(Context context, Throwable cause, StatusCode status) {
+		if (CallerConnection.isMalformed(context)) {
+			refuseMalformed(context);
+			return;
+		}
 		CallBoundary boundary = new CallBoundary();
 		CodedException error = switch (status.value()) {
 			case StatusCode.NOT_FOUND_CODE -> boundary.notRun(ErrorCode.NOT_FOUND,
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ModelRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ModelRoutes.java
@@ -70,8 +70,9 @@
 	}
 
 	private static ChatRequest parse(Context context, CompletionStyle style, CallBoundary boundary) {
+		byte[] body = RequestBody.bytes(context, boundary);
 		try {
-			return style.parse(context.body().bytes());
+			return style.parse(body);
 		}
 		catch (CodedException ex) {
 			throw boundary.notRun(ex.code(), ex.getMessage(), -1);
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -58,7 +58,7 @@
 		try {
 			RequestGate.Caller caller = this.gate.authenticate(context, boundary);
 			ServiceSpec service = service(context, caller, boundary);
-			ServiceCall call = serviceCall(context, service);
+			ServiceCall call = serviceCall(context, service, boundary);
 			boolean guarded = service.isProtected(call.method(), pathOnly(call.path()));
 			ClaimKey key = guarded ? key(context, caller, service, boundary) : null;
 			OpenRequest request = this.gate.admit(context, caller, DependencyNode.service(service.name()),
@@ -177,7 +177,7 @@
 		}
 	}
 
-	private static ServiceCall serviceCall(Context context, ServiceSpec service) {
+	private static ServiceCall serviceCall(Context context, ServiceSpec service, CallBoundary boundary) {
 		String prefix = "/services/" + service.name();
 		String path = context.getRequestPath().substring(prefix.length());
 		String query = context.queryString();
@@ -187,7 +187,7 @@
 				headers.add(new HttpHeader(name, value));
 			}
 		});
-		byte[] body = context.body().bytes();
+		byte[] body = RequestBody.bytes(context, boundary);
 		return new ServiceCall(context.getMethod().toUpperCase(Locale.ROOT),
 				(path.isEmpty() ? "/" : path) + ((query != null) ? query : ""), headers,
 				(body.length == 0) ? null : body, (int) service.timeoutMillis());
