Test that neither log nor responses hold a credential

The test sends wrong and valid keys to routes of both listeners, also in malformed requests, and reads what a log appender at every level captured.

--- /dev/null
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/CredentialSecrecyTests.java
@@ -0,0 +1,90 @@
+package org.comfreyslip.daemon.http;
+
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.appender.WriterAppender;
+import org.apache.logging.log4j.core.config.LoggerConfig;
+import org.apache.logging.log4j.core.layout.PatternLayout;
+import org.comfreyslip.daemon.InProcessDeployment;
+import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.platform.HttpReply;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against credentials in the log and in error messages.
+ */
+class CredentialSecrecyTests {
+
+	private static final int LIMIT_MILLIS = 20_000;
+
+	private static final String WRONG_KEY = "wrong-key-5d1c7a";
+
+	private static final String CONTROL = "the capture works";
+
+	private static final StringWriter LOG = new StringWriter();
+
+	private static WriterAppender appender;
+
+	private static InProcessDeployment deployment;
+
+	@BeforeAll
+	static void start() {
+		PatternLayout layout = PatternLayout.newBuilder().withPattern("%m%n%throwable").build();
+		appender = WriterAppender.createAppender(layout, null, LOG, "capture", false, true);
+		appender.start();
+		root().addAppender(appender, Level.ALL, null);
+		deployment = new InProcessDeployment("");
+		deployment.awaitReady();
+	}
+
+	@AfterAll
+	static void stop() {
+		deployment.close();
+		root().removeAppender("capture");
+	}
+
+	@Test
+	void neitherLogNorResponsesHoldAKey() {
+		StringBuilder responses = new StringBuilder();
+		for (String path : List.of("/v1/models", "/v1/completions", "/services/archive/stamps", "/none")) {
+			for (String scheme : List.of("Bearer ", "bearer ", "Basic ", "")) {
+				responses.append(send(deployment.callers(), "POST", path, scheme + WRONG_KEY));
+				responses.append(send(deployment.callers(), "GET", path, scheme + WRONG_KEY));
+			}
+			responses.append(send(deployment.callers(), "POST", path, "Bearer " + InProcessDeployment.KEY));
+		}
+		responses.append(send(deployment.admin(), "POST", "/admin/drain", "Bearer " + WRONG_KEY));
+		try (RawCaller caller = new RawCaller(deployment.callers())) {
+			caller.send("POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer " + WRONG_KEY + "\r\nContent-Length: "
+					+ WRONG_KEY + "\r\n\r\n");
+			responses.append(caller.readUntil("}}"));
+		}
+		LogManager.getLogger(CredentialSecrecyTests.class).error(CONTROL);
+		assertThat(responses).contains("UNAUTHENTICATED").doesNotContain(WRONG_KEY, InProcessDeployment.KEY);
+		assertThat(LOG.toString()).contains(CONTROL).doesNotContain(WRONG_KEY, InProcessDeployment.KEY);
+	}
+
+	private static LoggerConfig root() {
+		return ((LoggerContext) LogManager.getContext(false)).getConfiguration().getRootLogger();
+	}
+
+	private static String send(String address, String method, String path, String credential) {
+		byte[] body = method.equals("POST") ? "{}".getBytes(StandardCharsets.UTF_8) : null;
+		HttpReply reply = deployment.http()
+			.send(new HttpCall(address, method, path, List.of(new HttpHeader("Authorization", credential)), body,
+					LIMIT_MILLIS, LIMIT_MILLIS, HttpCall.get("", "").boundary()))
+			.join();
+		return reply.headers() + new String(reply.body(), StandardCharsets.UTF_8);
+	}
+
+}
