Serve callers and operators over TLS and renew certificates without a restart

Jooby's own TLS context reads the files once, so the options hand Netty a context of the daemon. Its key manager compares the files' times of change at each handshake; open connections keep their key. A watcher thread was ruled out, since a check at the handshake needs no thread and no delay. A pair that does not fit is refused by signing with the key and verifying with the certificate, because the files are replaced one after the other.

The operators' listener asks for client certificates without requiring them; the balancer's checks have none.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -103,9 +103,10 @@
 				(peer) -> CompletableFuture.completedFuture(Optional.empty()), this.timer);
 		RequestJournal journal = new RequestJournal(JOURNAL_REQUESTS);
 		EngineClients engines = new EngineClients(this.http, this.tables);
-		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal, engines));
-		this.adminServer = new AdminServer(self.adminListen(), new AdminServer.Parts(self.name(), this.holder,
-				this.claims::isStarted, this.drain, this::startDrain, this.tables, journal, this.registry, this.clock));
+		this.callerServer = new CallerServer(self.httpListen(), settings.tls(), callerParts(policy, journal, engines));
+		this.adminServer = new AdminServer(self.adminListen(), settings.tls(),
+				new AdminServer.Parts(self.name(), this.holder, this.claims::isStarted, this.drain, this::startDrain,
+						this.tables, journal, this.registry, this.clock));
 		startFollowing(engines);
 		DaemonEvent.STARTED.log(self.name(), self.httpListen(), self.adminListen());
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -19,6 +19,9 @@
 	/** The shutdown ended. */
 	DRAIN_ENDED(1003, Level.INFO, "shutdown ended, %s requests cut off"),
 
+	/** Changed TLS files cannot be used. */
+	KEY_FILES_INVALID(1004, Level.SEVERE, "TLS files cannot be used, the earlier ones stay in use: %s"),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(2001, Level.INFO, "configuration %s by %s is in force"),
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -22,8 +23,10 @@
 import org.comfreyslip.daemon.journal.RequestRecord;
 import org.comfreyslip.daemon.route.EndpointStatus;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.ErrorBody;
 import org.comfreyslip.platform.PlatformJson;
+import org.comfreyslip.settings.TlsSection;
 
 /**
  * The HTTP server for operators and the balancer's checks.
@@ -45,16 +48,15 @@
 	/**
 	 * Creates and starts the server.
 	 * @param listen where to listen, as ip:port
+	 * @param tls the files for TLS, or empty for plain HTTP
 	 * @param parts what the routes need
 	 */
-	public AdminServer(String listen, Parts parts) {
+	public AdminServer(String listen, Optional<TlsSection> tls, Parts parts) {
 		this.parts = parts;
-		int colon = listen.lastIndexOf(':');
-		ServerOptions options = new ServerOptions().setPort(Integer.parseInt(listen.substring(colon + 1)))
+		ServerOptions options = ListenerTls.options(listen, tls, true)
 			.setIoThreads(1)
 			.setWorkerThreads(1)
 			.setDefaultHeaders(false);
-		options.setHost(listen.substring(0, colon));
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setServerOptions(options);
 		addRoutes();
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.daemon.http;
 
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -20,7 +21,9 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.settings.TlsSection;
 
 /**
  * The HTTP server for callers.
@@ -46,11 +49,11 @@
 	/**
 	 * Creates and starts the server.
 	 * @param listen where to listen, as ip:port
+	 * @param tls the files for TLS, or empty for plain HTTP
 	 * @param parts what the routes need
 	 */
-	public CallerServer(String listen, Parts parts) {
-		int colon = listen.lastIndexOf(':');
-		ServerOptions options = new ServerOptions().setPort(Integer.parseInt(listen.substring(colon + 1)))
+	public CallerServer(String listen, Optional<TlsSection> tls, Parts parts) {
+		ServerOptions options = ListenerTls.options(listen, tls, false)
 			.setIoThreads(IO_THREADS)
 			.setWorkerThreads(IO_THREADS)
 			.setMaxRequestSize(MAX_REQUEST_BYTES)
@@ -58,7 +61,6 @@
 			// disks.
 			.setBufferSize(MAX_REQUEST_BYTES)
 			.setDefaultHeaders(false);
-		options.setHost(listen.substring(0, colon));
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setWorker(parts.workers());
 		this.app.setServerOptions(options);
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/tls/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * TLS of the listeners for callers and operators.
+ */
+package org.comfreyslip.daemon.tls;
