Keep bytes of plain requests to TLS listeners out of the log; type the admin listener's errors

Netty's NotSslRecordException quotes the whole request in hex, with its bearer key, and Jooby logs that exception as an error. The listeners' application now logs an event without the bytes instead. A pattern in log4j2.xml was ruled out, because another log configuration would bring the leak back.

Errors of the operators' listener outside its routes were Jooby's own pages; they are typed JSON now.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -22,6 +22,9 @@
 	/** Changed TLS files cannot be used. */
 	KEY_FILES_INVALID(1004, Level.SEVERE, "TLS files cannot be used, the earlier ones stay in use: %s"),
 
+	/** A connection to a TLS listener began with something else. */
+	NOT_TLS(1005, Level.WARNING, "a connection to a TLS listener did not begin with TLS and was closed"),
+
 	/** A configuration came into force. */
 	CONFIG_IN_FORCE(2001, Level.INFO, "configuration %s by %s is in force"),
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -11,11 +11,13 @@
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.config.ConfigVersion;
+import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.DrainController;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.config.ConfigInForce;
@@ -23,6 +25,7 @@
 import org.comfreyslip.daemon.journal.RequestRecord;
 import org.comfreyslip.daemon.route.EndpointStatus;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.ErrorBody;
 import org.comfreyslip.platform.PlatformJson;
@@ -39,7 +42,7 @@
 
 	private static final String BEARER = "Bearer ";
 
-	private final Jooby app = new Jooby();
+	private final Jooby app = new ListenerApp();
 
 	private final NettyServer server = new NettyServer();
 
@@ -59,6 +62,7 @@
 			.setDefaultHeaders(false);
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setServerOptions(options);
+		this.app.error(AdminServer::onError);
 		addRoutes();
 		this.server.setOptions(options);
 		this.server.start(this.app);
@@ -133,6 +137,20 @@
 		config.findOperator(header.substring(BEARER.length()).trim()).orElseThrow(refusal);
 	}
 
+	private static void onError(Context context, Throwable cause, StatusCode status) {
+		if (status.value() == ErrorCode.NOT_FOUND.httpStatus()) {
+			error(context, ErrorCode.NOT_FOUND,
+					"no resource at " + context.getMethod() + " " + context.getRequestPath());
+		}
+		else if (status.value() < ErrorCode.INVARIANT_VIOLATED.httpStatus()) {
+			error(context, ErrorCode.BAD_REQUEST, "the request is malformed: " + cause.getMessage());
+		}
+		else {
+			DaemonEvent.UNEXPECTED.log(context.getRequestPath(), cause);
+			error(context, ErrorCode.INVARIANT_VIOLATED, "the request failed unexpectedly");
+		}
+	}
+
 	private static Context error(Context context, ErrorCode code, String message) {
 		return json(context, code.httpStatus(), new ErrorBody(code.name(), message));
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.PlatformHttp;
 import org.comfreyslip.settings.TlsSection;
@@ -42,7 +43,7 @@
 
 	private static final int IO_THREADS = 2;
 
-	private final Jooby app = new Jooby();
+	private final Jooby app = new ListenerApp();
 
 	private final NettyServer server = new NettyServer();
 
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/tls/ListenerApp.java
@@ -0,0 +1,53 @@
+package org.comfreyslip.daemon.tls;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+
+import io.jooby.Jooby;
+import io.netty.handler.ssl.NotSslRecordException;
+import org.comfreyslip.daemon.DaemonEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A Jooby application whose log holds no bytes of requests. Netty's error for a plain
+ * request at a TLS listener quotes the request in hex, with its credential, and Jooby
+ * logs that error.
+ */
+public final class ListenerApp extends Jooby {
+
+	private Logger log;
+
+	@Override
+	public synchronized Logger getLog() {
+		if (this.log == null) {
+			this.log = filter(LoggerFactory.getLogger(Jooby.class));
+		}
+		return this.log;
+	}
+
+	private static Logger filter(Logger target) {
+		return (Logger) Proxy.newProxyInstance(Logger.class.getClassLoader(), new Class<?>[] { Logger.class },
+				(proxy, method, arguments) -> {
+					if (arguments != null && quotesRequest(arguments[arguments.length - 1])) {
+						DaemonEvent.NOT_TLS.log();
+						return null;
+					}
+					try {
+						return method.invoke(target, arguments);
+					}
+					catch (InvocationTargetException ex) {
+						throw ex.getCause();
+					}
+				});
+	}
+
+	private static boolean quotesRequest(Object argument) {
+		Throwable cause = (argument instanceof Throwable thrown) ? thrown : null;
+		while (cause != null && !(cause instanceof NotSslRecordException)) {
+			cause = cause.getCause();
+		}
+		return cause != null;
+	}
+
+}
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
@@ -128,6 +128,17 @@
 		assertRefused(get("/no/such/path", CREDENTIAL), 404, "NOT_FOUND");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "/none", "/admin/explain/none" })
+	void theOperatorsListenerAlsoGivesTypedErrors(String path) {
+		HttpReply reply = deployment.http().send(HttpCall.get(deployment.admin(), path)).join();
+		assertThat(reply.status()).isEqualTo(404);
+		assertThat(new String(reply.body(), StandardCharsets.UTF_8)).startsWith("{").contains("NOT_FOUND");
+		HttpReply wrongMethod = deployment.http().send(HttpCall.post(deployment.admin(), "/health", Map.of())).join();
+		assertThat(wrongMethod.status()).isEqualTo(400);
+		assertThat(new String(wrongMethod.body(), StandardCharsets.UTF_8)).contains("BAD_REQUEST");
+	}
+
 	@Test
 	void aWrongMethodGetsATypedError() {
 		assertRefused(get(COMPLETIONS, CREDENTIAL), 400, "BAD_REQUEST");
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/CredentialSecrecyTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/CredentialSecrecyTests.java
@@ -1,16 +1,11 @@
 package org.comfreyslip.daemon.http;
 
-import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.LoggerContext;
-import org.apache.logging.log4j.core.appender.WriterAppender;
-import org.apache.logging.log4j.core.config.LoggerConfig;
-import org.apache.logging.log4j.core.layout.PatternLayout;
 import org.comfreyslip.daemon.InProcessDeployment;
+import org.comfreyslip.daemon.LogCapture;
 import org.comfreyslip.platform.HttpCall;
 import org.comfreyslip.platform.HttpHeader;
 import org.comfreyslip.platform.HttpReply;
@@ -31,18 +26,13 @@
 
 	private static final String CONTROL = "the capture works";
 
-	private static final StringWriter LOG = new StringWriter();
-
-	private static WriterAppender appender;
+	private static LogCapture log;
 
 	private static InProcessDeployment deployment;
 
 	@BeforeAll
 	static void start() {
-		PatternLayout layout = PatternLayout.newBuilder().withPattern("%m%n%throwable").build();
-		appender = WriterAppender.createAppender(layout, null, LOG, "capture", false, true);
-		appender.start();
-		root().addAppender(appender, Level.ALL, null);
+		log = new LogCapture();
 		deployment = new InProcessDeployment("");
 		deployment.awaitReady();
 	}
@@ -50,7 +40,7 @@
 	@AfterAll
 	static void stop() {
 		deployment.close();
-		root().removeAppender("capture");
+		log.close();
 	}
 
 	@Test
@@ -71,11 +61,7 @@
 		}
 		LogManager.getLogger(CredentialSecrecyTests.class).error(CONTROL);
 		assertThat(responses).contains("UNAUTHENTICATED").doesNotContain(WRONG_KEY, InProcessDeployment.KEY);
-		assertThat(LOG.toString()).contains(CONTROL).doesNotContain(WRONG_KEY, InProcessDeployment.KEY);
-	}
-
-	private static LoggerConfig root() {
-		return ((LoggerContext) LogManager.getContext(false)).getConfiguration().getRootLogger();
+		assertThat(log.text()).contains(CONTROL).doesNotContain(WRONG_KEY, InProcessDeployment.KEY);
 	}
 
 	private static String send(String address, String method, String path, String credential) {
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/tls/ListenerTlsTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/tls/ListenerTlsTests.java
@@ -10,6 +10,8 @@
 import java.security.GeneralSecurityException;
 import java.security.KeyStore;
 import java.security.cert.X509Certificate;
+import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 
 import javax.net.ssl.SSLContext;
@@ -23,7 +25,9 @@
 import okhttp3.Response;
 import okio.BufferedSource;
 import org.comfreyslip.daemon.InProcessDeployment;
+import org.comfreyslip.daemon.LogCapture;
 import org.comfreyslip.platform.HttpCall;
+import org.comfreyslip.platform.HttpHeader;
 import org.comfreyslip.platform.PlatformJson;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -39,6 +43,8 @@
  */
 class ListenerTlsTests {
 
+	private static final int LIMIT_MILLIS = 20_000;
+
 	@TempDir
 	private Path directory;
 
@@ -68,12 +74,19 @@
 	}
 
 	@Test
-	void plainHttpIsNotAnswered() {
-		assertThatThrownBy(
-				() -> this.deployment.http().send(HttpCall.get(this.deployment.callers(), "/v1/models")).join())
-			.isNotNull();
-		assertThatThrownBy(() -> this.deployment.http().send(HttpCall.get(this.deployment.admin(), "/health")).join())
-			.isNotNull();
+	void plainHttpIsNotAnsweredAndNotLogged() {
+		String credential = "Bearer " + InProcessDeployment.KEY;
+		try (LogCapture log = new LogCapture()) {
+			for (String address : List.of(this.deployment.callers(), this.deployment.admin())) {
+				HttpCall call = new HttpCall(address, "GET", "/health",
+						List.of(new HttpHeader("Authorization", credential)), null, LIMIT_MILLIS, LIMIT_MILLIS,
+						HttpCall.get("", "").boundary());
+				assertThatThrownBy(() -> this.deployment.http().send(call).join()).isNotNull();
+			}
+			InProcessDeployment.await("both are logged", () -> log.text().split("CS-1005", -1).length == 3);
+			assertThat(log.text()).doesNotContain(InProcessDeployment.KEY,
+					HexFormat.of().formatHex(InProcessDeployment.KEY.getBytes(StandardCharsets.US_ASCII)));
+		}
 	}
 
 	@Test
