--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.http.Admission;
 import org.comfreyslip.daemon.http.CallerServer;
+import org.comfreyslip.daemon.http.RequestMetrics;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.route.EngineClients;
 import org.comfreyslip.daemon.route.LoadProber;
@@ -145,7 +146,8 @@
 				policy, this.tables, this.http, this.timer, new ClaimMetrics(this.registry), this.clock,
 				System::currentTimeMillis);
 		return new CallerServer.Parts(this.holder, this.drain, new Admission(new Random()), this.tables, journal,
-				answers, protectedCalls, this.http, this.workers, new Random(), this.clock);
+				answers, protectedCalls, this.http, new RequestMetrics(this.registry), this.workers, new Random(),
+				this.clock);
 	}
 
 	private void startFollowing(EngineClients engines) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -81,7 +81,7 @@
 
 	private void addRoutes(Parts parts) {
 		RequestGate gate = new RequestGate(parts.holder(), parts.drain(), parts.admission(), parts.tables(),
-				parts.journal(), parts.clock());
+				parts.journal(), parts.metrics(), parts.clock());
 		ModelRoutes models = new ModelRoutes(gate, parts.answers());
 		RepeatableCalls repeatable = new RepeatableCalls(parts.tables(), parts.http(), parts.admission(),
 				parts.workers(), parts.clock());
@@ -144,13 +144,14 @@
 	 * @param answers starts answers of models
 	 * @param protectedCalls starts protected calls
 	 * @param http the HTTP client for plain services
+	 * @param metrics the requests' metrics
 	 * @param workers runs blocking work
 	 * @param random the source of idempotency keys
 	 * @param clock the monotonic clock, in ns
 	 */
 	public record Parts(ConfigHolder holder, DrainController drain, Admission admission, RoutingTables tables,
 			RequestJournal journal, AnswerService answers, ProtectedCallService protectedCalls, PlatformHttp http,
-			ExecutorService workers, RandomGenerator random, LongSupplier clock) {
+			RequestMetrics metrics, ExecutorService workers, RandomGenerator random, LongSupplier clock) {
 	}
 
 }
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
@@ -59,13 +59,13 @@
 	public void finish(FinishReason reason) {
 		write(PlatformJson.write(chunk(null, reason)));
 		write(DONE);
-		this.request.close("answered with " + this.tokens + " tokens");
+		this.request.close(OutcomeClass.ANSWERED, "answered with " + this.tokens + " tokens");
 		this.sender.close();
 	}
 
 	@Override
 	public void fail(CodedException error) {
-		this.request.close("failed after " + this.tokens + " tokens: " + error.code());
+		this.request.close(OutcomeClass.of(error), "failed after " + this.tokens + " tokens: " + error.code());
 		if (this.sender == null) {
 			Replies.error(this.context, error, this.request.id());
 			return;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/JsonAnswerSink.java
@@ -43,14 +43,14 @@
 
 	@Override
 	public void finish(FinishReason reason) {
-		this.request.close("answered with " + this.tokens + " tokens");
+		this.request.close(OutcomeClass.ANSWERED, "answered with " + this.tokens + " tokens");
 		Replies.json(this.context, OK, this.style.completion(this.request.id(), this.created, this.model,
 				this.style.whole(this.text.toString(), reason), new CompletionStyle.Usage(this.tokens)));
 	}
 
 	@Override
 	public void fail(CodedException error) {
-		this.request.close("failed: " + error.code());
+		this.request.close(OutcomeClass.of(error), "failed: " + error.code());
 		Replies.error(this.context, error, this.request.id());
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ModelRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ModelRoutes.java
@@ -47,7 +47,7 @@
 			start(context, style, parsed, model, request);
 		}
 		catch (CodedException ex) {
-			Replies.error(context, ex, null);
+			this.gate.refuse(context, ex);
 		}
 		return context;
 	}
@@ -64,7 +64,7 @@
 			Replies.json(context, OK, new CompletionStyle.ModelList("list", models));
 		}
 		catch (CodedException ex) {
-			Replies.error(context, ex, null);
+			this.gate.refuse(context, ex);
 		}
 		return context;
 	}
@@ -86,11 +86,11 @@
 				: new JsonAnswerSink(context, request, style, model.name(), created);
 		AnswerRequest answer = new AnswerRequest(request.id(), request.account(), model, parsed.prompt(),
 				parsed.maxTokens(), request.deadline(), request.boundary());
-		AnswerHandle handle = this.answers.start(answer, sink, request.entry());
+		AnswerHandle handle = this.answers.start(answer, this.gate.timed(sink), request.entry());
 		CallerConnection.onClose(context, () -> {
 			if (!request.closed().get()) {
 				handle.callerGone();
-				request.close("the caller left");
+				request.close(OutcomeClass.CALLER_LEFT, "the caller left");
 			}
 		});
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/OpenRequest.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/OpenRequest.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.daemon.http;
 
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 import org.comfreyslip.coordination.CallBoundary;
 import org.comfreyslip.daemon.config.ConfigInForce;
@@ -17,19 +18,20 @@
  * @param boundary the boundary between "not run" and "may have run"
  * @param entry the request's record
  * @param closed whether the request has ended
- * @param onClose gives the request's permits back
+ * @param onClose gives the request's permits back and counts it
  */
 record OpenRequest(String id, AccountSpec account, ConfigInForce config, long deadline, CallBoundary boundary,
-		RequestEntry entry, AtomicBoolean closed, Runnable onClose) {
+		RequestEntry entry, AtomicBoolean closed, Consumer<OutcomeClass> onClose) {
 
 	/**
 	 * Ends the request. Repeating it has no further effect.
+	 * @param outcomeClass how it ended, for the metrics
 	 * @param outcome the outcome for the request's record
 	 */
-	void close(String outcome) {
+	void close(OutcomeClass outcomeClass, String outcome) {
 		if (this.closed.compareAndSet(false, true)) {
 			this.entry.end(outcome, System.currentTimeMillis());
-			this.onClose.run();
+			this.onClose.accept(outcomeClass);
 		}
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RepeatableCalls.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RepeatableCalls.java
@@ -121,16 +121,16 @@
 				}
 			}
 			copy(response, context.responseSender());
-			request.close("answered with status " + response.status());
+			request.close(OutcomeClass.ANSWERED, "answered with status " + response.status());
 		}
 		catch (IOException | ExecutionException ex) {
 			// The response has started, so the only honest end is to break it off.
-			request.close("broken off: " + ex.getMessage());
+			request.close(OutcomeClass.FAILED, "broken off: " + ex.getMessage());
 			CallerConnection.close(context);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			request.close("broken off by the shutdown");
+			request.close(OutcomeClass.FAILED, "broken off by the shutdown");
 		}
 	}
 
@@ -154,7 +154,7 @@
 
 	private static void fail(Attempt attempt, ErrorCode code, String message) {
 		CodedException error = attempt.request().boundary().failure(code, message, RETRY_AFTER_MILLIS);
-		attempt.request().close("failed: " + code);
+		attempt.request().close(OutcomeClass.of(error), "failed: " + code);
 		Replies.error(attempt.context(), error, attempt.request().id());
 	}
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RequestGate.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RequestGate.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.jooby.Context;
@@ -12,6 +13,7 @@
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.daemon.DrainController;
+import org.comfreyslip.daemon.answer.AnswerSink;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestEntry;
@@ -47,15 +49,18 @@
 
 	private final RequestJournal journal;
 
+	private final RequestMetrics metrics;
+
 	private final LongSupplier clock;
 
 	RequestGate(ConfigHolder holder, DrainController drain, Admission admission, RoutingTables tables,
-			RequestJournal journal, LongSupplier clock) {
+			RequestJournal journal, RequestMetrics metrics, LongSupplier clock) {
 		this.holder = holder;
 		this.drain = drain;
 		this.admission = admission;
 		this.tables = tables;
 		this.journal = journal;
+		this.metrics = metrics;
 		this.clock = clock;
 	}
 
@@ -106,7 +111,8 @@
 		String id = UUID.randomUUID().toString();
 		RequestEntry entry = this.journal.open(id, caller.account().name(), label,
 				caller.config().snapshot().version().number(), System.currentTimeMillis());
-		Runnable onClose = () -> {
+		Consumer<OutcomeClass> onClose = (outcome) -> {
+			this.metrics.ended(caller.account().name(), outcome);
 			this.admission.finish(admitted);
 			this.drain.end();
 		};
@@ -115,6 +121,25 @@
 				onClose);
 	}
 
+	/**
+	 * Sends the error of a request that was not admitted, and counts it.
+	 * @param context the HTTP request
+	 * @param error the error
+	 */
+	void refuse(Context context, CodedException error) {
+		this.metrics.refused();
+		Replies.error(context, error, null);
+	}
+
+	/**
+	 * Adds the measurement of token times to a sink.
+	 * @param sink the sink
+	 * @return the measured sink
+	 */
+	AnswerSink timed(AnswerSink sink) {
+		return new TimedAnswerSink(sink, this.metrics, this.clock);
+	}
+
 	private void requireDependencies(ConfigInForce config, DependencyNode target, CallBoundary boundary, long now) {
 		Set<DependencyNode> needed = config.dependencies().dependenciesOf(target);
 		List<String> services = needed.stream().map(DependencyNode::name).toList();
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -71,7 +71,7 @@
 			}
 		}
 		catch (CodedException ex) {
-			Replies.error(context, ex, null);
+			this.gate.refuse(context, ex);
 		}
 		return context;
 	}
@@ -83,7 +83,7 @@
 			Replies.json(context, OK, Map.of("idempotency_key", key));
 		}
 		catch (CodedException ex) {
-			Replies.error(context, ex, null);
+			this.gate.refuse(context, ex);
 		}
 		return context;
 	}
@@ -104,7 +104,7 @@
 			});
 		}
 		catch (CodedException ex) {
-			Replies.error(context, ex, null);
+			this.gate.refuse(context, ex);
 		}
 		return context;
 	}
@@ -114,7 +114,7 @@
 		this.protectedCalls.start(key, service, call, request.deadline(), request.entry())
 			.whenComplete((result, ex) -> {
 				if (ex != null) {
-					request.close("failed: " + ex.getMessage());
+					request.close(OutcomeClass.FAILED, "failed: " + ex.getMessage());
 					Replies.error(context, ex, request.id());
 				}
 				else {
@@ -125,15 +125,15 @@
 
 	private static void answer(Context context, OpenRequest request, ClaimResult result) {
 		if (result instanceof ClaimResult.Done done) {
-			request.close("done with status " + done.response().status());
+			request.close(OutcomeClass.ANSWERED, "done with status " + done.response().status());
 			recorded(context, done.response(), done.replayed());
 		}
 		else if (result instanceof ClaimResult.NotRun notRun) {
-			request.close("not run: " + notRun.error().code());
+			request.close(OutcomeClass.NOT_RUN, "not run: " + notRun.error().code());
 			Replies.error(context, notRun.error(), request.id());
 		}
 		else if (result instanceof ClaimResult.Unknown unknown) {
-			request.close("outcome unknown");
+			request.close(OutcomeClass.UNKNOWN, "outcome unknown");
 			context.setResponseHeader("Location", unknown.lookupPath());
 			Replies.error(context, unknown.error(), request.id());
 		}
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
@@ -139,6 +139,19 @@
 		assertThat(new String(wrongMethod.body(), StandardCharsets.UTF_8)).contains("BAD_REQUEST");
 	}
 
+	@Test
+	void refusedAndAnsweredRequestsAreCounted() {
+		assertRefused(post(COMPLETIONS, bytes("{")), 400, "BAD_REQUEST");
+		assertThat(post(COMPLETIONS, completion(2, false)).status()).isEqualTo(200);
+		HttpReply metrics = deployment.http().send(HttpCall.get(deployment.admin(), "/metrics")).join();
+		assertThat(new String(metrics.body(), StandardCharsets.UTF_8))
+			.contains("comfreyslip_requests_total{account=\"-none\",outcome=\"not-run\"}")
+			.contains("comfreyslip_requests_total{account=\"gate\",outcome=\"answered\"}")
+			.contains("comfreyslip_first_token_seconds_count", "comfreyslip_between_tokens_seconds_count")
+			.contains("comfreyslip_violations_total{promise=\"layers\"} 0.0")
+			.contains("comfreyslip_violations_total{promise=\"protected\"} 0.0");
+	}
+
 	@Test
 	void aWrongMethodGetsATypedError() {
 		assertRefused(get(COMPLETIONS, CREDENTIAL), 400, "BAD_REQUEST");
