--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/Daemon.java
@@ -33,6 +33,7 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.http.Admission;
 import org.comfreyslip.daemon.http.CallerServer;
+import org.comfreyslip.daemon.http.RequestMetrics;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.order.MaintenanceLease;
 import org.comfreyslip.daemon.order.PlacementService;
@@ -150,8 +151,8 @@
 		EngineClients engines = new EngineClients(this.http, this.tables);
 		this.answers = new AnswerService(this.tables, engines, this.timer, new AnswerMetrics(this.registry),
 				this.clock);
-		this.callerServer = new CallerServer(self.httpListen(), callerParts(policy, journal));
-		this.adminServer = new AdminServer(self.adminListen(),
+		this.callerServer = new CallerServer(self.httpListen(), settings.tls(), callerParts(policy, journal));
+		this.adminServer = new AdminServer(self.adminListen(), settings.tls(),
 				new AdminServer.Parts(self.name(), this.holder, this.claims::isStarted, this.drain, this::startDrain,
 						this.tables, journal, this.peers, this.registry, this.clock));
 		startFollowing(engines);
@@ -211,7 +212,7 @@
 				policy, this.tables, this.http, this.timer, new ClaimMetrics(this.registry), this.clock,
 				System::currentTimeMillis);
 		return new CallerServer.Parts(this.holder, this.drain, this.admission, this.tables, journal, this.answers,
-				protectedCalls, this.http, this.workers, new Random(), this.clock);
+				protectedCalls, this.http, new RequestMetrics(this.registry), this.workers, new Random(), this.clock);
 	}
 
 	private void startFollowing(EngineClients engines) {
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -12,18 +12,23 @@
 import io.jooby.Jooby;
 import io.jooby.Route;
 import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.DrainController;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.journal.RequestSearch;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerApp;
+import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.ErrorBody;
 import org.comfreyslip.platform.PlatformJson;
+import org.comfreyslip.settings.TlsSection;
 
 /**
  * The HTTP server for operators and the balancer's checks.
@@ -36,7 +41,7 @@
 
 	private static final String BEARER = "Bearer ";
 
-	private final Jooby app = new Jooby();
+	private final Jooby app = new ListenerApp();
 
 	private final NettyServer server = new NettyServer();
 
@@ -47,19 +52,19 @@
 	/**
 	 * Creates and starts the server.
 	 * @param listen where to listen, as ip:port
+	 * @param tls the files for TLS, or empty for plain HTTP
 	 * @param parts what the routes need
 	 */
-	public AdminServer(String listen, Parts parts) {
+	public AdminServer(String listen, Optional<TlsSection> tls, Parts parts) {
 		this.parts = parts;
 		this.reports = new AdminReports(parts);
-		int colon = listen.lastIndexOf(':');
-		ServerOptions options = new ServerOptions().setPort(Integer.parseInt(listen.substring(colon + 1)))
+		ServerOptions options = ListenerTls.options(listen, tls, true)
 			.setIoThreads(1)
 			.setWorkerThreads(1)
 			.setDefaultHeaders(false);
-		options.setHost(listen.substring(0, colon));
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setServerOptions(options);
+		this.app.error(AdminServer::onError);
 		addRoutes();
 		this.server.setOptions(options);
 		this.server.start(this.app);
@@ -146,6 +151,24 @@
 		config.findOperator(header.substring(BEARER.length()).trim()).orElseThrow(refusal);
 	}
 
+	private static void onError(Context context, Throwable cause, StatusCode status) {
+		if (status.value() == ErrorCode.NOT_FOUND.httpStatus()) {
+			error(context, ErrorCode.NOT_FOUND,
+					"no resource at " + context.getMethod() + " " + context.getRequestPath());
+		}
+		else if (status.value() < ErrorCode.INVARIANT_VIOLATED.httpStatus()) {
+			error(context, ErrorCode.BAD_REQUEST, "the request is malformed: " + cause.getMessage());
+		}
+		else {
+			DaemonEvent.UNEXPECTED.log(context.getRequestPath(), cause);
+			error(context, ErrorCode.INVARIANT_VIOLATED, "the request failed unexpectedly");
+		}
+	}
+
+	private static Context error(Context context, ErrorCode code, String message) {
+		return json(context, code.httpStatus(), new ErrorBody(code.name(), message));
+	}
+
 	private static Context json(Context context, int status, Object message) {
 		context.setResponseCode(status);
 		context.setResponseHeader("Content-Type", "application/json");
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.daemon.http;
 
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -20,7 +21,10 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.route.RoutingTables;
+import org.comfreyslip.daemon.tls.ListenerApp;
+import org.comfreyslip.daemon.tls.ListenerTls;
 import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.settings.TlsSection;
 
 /**
  * The HTTP server for callers.
@@ -32,20 +36,25 @@
 	 */
 	private static final int MAX_REQUEST_BYTES = 8 * 1024 * 1024;
 
+	/** Netty's defaults, which Jooby 3.0.9 does not let change. */
+	private static final int MAX_HEADER_BYTES = 8_192;
+
+	private static final int MAX_FIRST_LINE_BYTES = 4_096;
+
 	private static final int IO_THREADS = 2;
 
-	private final Jooby app = new Jooby();
+	private final Jooby app = new ListenerApp();
 
 	private final NettyServer server = new NettyServer();
 
 	/**
 	 * Creates and starts the server.
 	 * @param listen where to listen, as ip:port
+	 * @param tls the files for TLS, or empty for plain HTTP
 	 * @param parts what the routes need
 	 */
-	public CallerServer(String listen, Parts parts) {
-		int colon = listen.lastIndexOf(':');
-		ServerOptions options = new ServerOptions().setPort(Integer.parseInt(listen.substring(colon + 1)))
+	public CallerServer(String listen, Optional<TlsSection> tls, Parts parts) {
+		ServerOptions options = ListenerTls.options(listen, tls, false)
 			.setIoThreads(IO_THREADS)
 			.setWorkerThreads(IO_THREADS)
 			.setMaxRequestSize(MAX_REQUEST_BYTES)
@@ -53,7 +62,6 @@
 			// disks.
 			.setBufferSize(MAX_REQUEST_BYTES)
 			.setDefaultHeaders(false);
-		options.setHost(listen.substring(0, colon));
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setWorker(parts.workers());
 		this.app.setServerOptions(options);
@@ -73,7 +81,7 @@
 
 	private void addRoutes(Parts parts) {
 		RequestGate gate = new RequestGate(parts.holder(), parts.drain(), parts.admission(), parts.tables(),
-				parts.journal(), parts.clock());
+				parts.journal(), parts.metrics(), parts.clock());
 		ModelRoutes models = new ModelRoutes(gate, parts.answers());
 		RepeatableCalls repeatable = new RepeatableCalls(parts.tables(), parts.http(), parts.admission(),
 				parts.workers(), parts.clock());
@@ -90,10 +98,28 @@
 	}
 
 	private void route(String method, String pattern, Route.Handler handler) {
-		this.app.route(method, pattern, handler).setReturnType(Context.class);
+		this.app.route(method, pattern, (context) -> (CallerConnection.isMalformed(context)) ? refuseMalformed(context)
+				: handler.apply(context))
+			.setReturnType(Context.class);
+	}
+
+	private static Context refuseMalformed(Context context) {
+		CodedException error = new CallBoundary().notRun(ErrorCode.BAD_REQUEST,
+				"the request is not valid HTTP/1.1 or has a header section over " + MAX_HEADER_BYTES
+						+ " bytes or a first line over " + MAX_FIRST_LINE_BYTES + " bytes",
+				-1);
+		// Netty discards whatever follows on this connection, so it cannot be used again.
+		context.setResponseHeader("Connection", "close");
+		Replies.error(context, error, null);
+		CallerConnection.closeAfterResponse(context);
+		return context;
 	}
 
 	private static void onError(Context context, Throwable cause, StatusCode status) {
+		if (CallerConnection.isMalformed(context)) {
+			refuseMalformed(context);
+			return;
+		}
 		CallBoundary boundary = new CallBoundary();
 		CodedException error = switch (status.value()) {
 			case StatusCode.NOT_FOUND_CODE -> boundary.notRun(ErrorCode.NOT_FOUND,
@@ -118,13 +144,14 @@
 	 * @param answers starts answers of models
 	 * @param protectedCalls starts protected calls
 	 * @param http the HTTP client for plain services
+	 * @param metrics the requests' metrics
 	 * @param workers runs blocking work
 	 * @param random the source of idempotency keys
 	 * @param clock the monotonic clock, in ns
 	 */
 	public record Parts(ConfigHolder holder, DrainController drain, Admission admission, RoutingTables tables,
 			RequestJournal journal, AnswerService answers, ProtectedCallService protectedCalls, PlatformHttp http,
-			ExecutorService workers, RandomGenerator random, LongSupplier clock) {
+			RequestMetrics metrics, ExecutorService workers, RandomGenerator random, LongSupplier clock) {
 	}
 
 }
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
@@ -61,7 +61,7 @@
 		write(PlatformJson.write(chunk(null, reason)));
 		write(DONE);
 		this.sender.close();
-		this.request.close("answered with " + this.tokens + " tokens");
+		this.request.close(OutcomeClass.ANSWERED, "answered with " + this.tokens + " tokens");
 	}
 
 	@Override
@@ -73,7 +73,7 @@
 			write(PlatformJson.write(ErrorReply.of(error, this.request.id())));
 			this.sender.close();
 		}
-		this.request.close("failed after " + this.tokens + " tokens: " + error.code());
+		this.request.close(OutcomeClass.of(error), "failed after " + this.tokens + " tokens: " + error.code());
 	}
 
 	private CompletionStyle.Completion chunk(String text, FinishReason reason) {
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonGroup.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonGroup.java
@@ -128,8 +128,8 @@
 	}
 
 	public void awaitVersion(String daemon, long number) {
-		await().until(() -> admin(daemon, "/ready").status() == OK
-				&& new String(admin(daemon, "/admin/status").body()).contains("\"config\":{\"number\":" + number + ","));
+		await().until(() -> admin(daemon, "/ready").status() == OK && new String(admin(daemon, "/admin/status").body())
+			.contains("\"config\":{\"number\":" + number + ","));
 	}
 
 	public static String text(int modelVersion) {
