--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/MemberSlope.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/MemberSlope.java
@@ -32,9 +32,9 @@
 		List<MemberReport> reports = new ArrayList<>();
 		for (int i = 1; i < members; i++) {
 			this.others.add(member(i));
-			reports.add(new MemberReport(member(i), 1, MemberReport.Phase.RUNNING, 1));
+			reports.add(report(member(i)));
 		}
-		this.table.merge(new MembershipDelta(PEER, false, reports, List.of(), List.of(), List.of()), 0);
+		this.table.merge(new MembershipDelta(PEER, List.of(), reports, List.of(), List.of(), List.of()), 0);
 		this.table.deltaFor(PEER, List.of());
 		this.table.onConfirmed(PEER);
 		work();
@@ -49,10 +49,10 @@
 		this.beat++;
 		long now = this.beat * SECOND;
 		List<MemberBeat> beats = this.others.stream()
-			.map((other) -> new MemberBeat(MemberTable.key(other), this.beat))
+			.map((other) -> new MemberBeat(MemberTable.key(report(other)), this.beat))
 			.toList();
 		this.table.tick(now, 1);
-		this.table.merge(new MembershipDelta(PEER, false, List.of(), beats, List.of(), List.of()), now);
+		this.table.merge(new MembershipDelta(PEER, List.of(), List.of(), beats, List.of(), List.of()), now);
 		byte[] sent = this.table.deltaFor(PEER, List.of()).encode();
 		this.table.onConfirmed(PEER);
 		this.lastBytes = sent.length;
@@ -64,6 +64,10 @@
 		return this.lastBytes;
 	}
 
+	private static MemberReport report(Member member) {
+		return new MemberReport(member, 1, MemberReport.Phase.RUNNING, 1);
+	}
+
 	private static Member member(int number) {
 		return new Member("daemon-" + number, 1_700_000_000_000L + number,
 				"10.1." + number / 250 + "." + (number % 250 + 1) + ":9090", "si-" + number % 7, "si-central");
