--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/DaemonEvent.java
@@ -58,8 +58,8 @@
 	/** The outcome of a protected call is not known. */
 	OUTCOME_UNKNOWN(4002, Level.WARNING, "request %s with key %s has an unknown outcome"),
 
-	/** A foreign record was skipped. */
-	FOREIGN_RECORD(4003, Level.WARNING, "offset %s of stream %s holds no record of this program"),
+	/** A foreign or damaged record was skipped. */
+	FOREIGN_RECORD(4003, Level.WARNING, "stream %s: a record was skipped: %s"),
 
 	/** A daemon was seen for the first time. */
 	MEMBER_JOINED(5001, Level.INFO, "daemon %s joined"),
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
@@ -244,7 +244,8 @@
 	private void apply(int partition, LogRecord entry) {
 		Optional<ClaimBatch> batch = ClaimBatchCodec.decode(entry.data());
 		if (batch.isEmpty()) {
-			DaemonEvent.FOREIGN_RECORD.log(entry.offset(), ClaimPartition.streamName(partition));
+			DaemonEvent.FOREIGN_RECORD.log(ClaimPartition.streamName(partition),
+					"offset " + entry.offset() + " is no claim batch");
 		}
 		ClaimBatch records = batch.orElse(new ClaimBatch("", 0, List.of()));
 		this.folds[partition].apply(entry.offset(), records);
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
@@ -240,7 +240,7 @@
 				DaemonEvent.CONFIG_REFUSED.log(refused.proposalId(), refused.winner().version().number());
 			}
 			else if (verdict instanceof ConfigVerdict.Skipped skipped) {
-				DaemonEvent.FOREIGN_RECORD.log(skipped.reason(), STREAM);
+				DaemonEvent.FOREIGN_RECORD.log(STREAM, skipped.reason());
 			}
 		}
 	}
