Log errors without a code that reach the caller server's error handler

They were wrapped into a coded error before the place that logs errors without a code, so a fault before a route left no trace in the log. No test provokes such a fault; the 62 tests of the module pass.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -121,14 +121,15 @@
 			return;
 		}
 		CallBoundary boundary = new CallBoundary();
-		CodedException error = switch (status.value()) {
+		Throwable error = switch (status.value()) {
 			case StatusCode.NOT_FOUND_CODE -> boundary.notRun(ErrorCode.NOT_FOUND,
 					"no resource at " + context.getMethod() + " " + context.getRequestPath(), -1);
 			case StatusCode.REQUEST_ENTITY_TOO_LARGE_CODE ->
 				boundary.notRun(ErrorCode.BODY_TOO_LARGE, "the body exceeds " + MAX_REQUEST_BYTES + " bytes", -1);
 			case StatusCode.METHOD_NOT_ALLOWED_CODE, StatusCode.BAD_REQUEST_CODE ->
 				boundary.notRun(ErrorCode.BAD_REQUEST, "the request is malformed: " + cause.getMessage(), -1);
-			default -> new CodedException(ErrorCode.INVARIANT_VIOLATED, String.valueOf(cause), cause);
+			// Logged there, if it has no code.
+			default -> cause;
 		};
 		Replies.error(context, error, null);
 	}
