Free the key of a protected call that the service refused without executing it

The text now names the statuses by which a service states that it executed nothing (refusal-statuses, default none); such a call releases its claim. Ruled out: treating every 503 that way, because a service may answer 503 after it executed a call. The answer makes no 'not run' statement, since it rests on the service's word.

--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -209,7 +209,7 @@
 			}
 		}
 		text.append("[service archive]\nprotected = POST /stamps\nlookup = /stamps/by-key/{key}\n"
-				+ "timeout-ms = 5000\n\n");
+				+ "refusal-statuses = 503\n" + "timeout-ms = 5000\n\n");
 		for (String name : List.of("archive-1", "archive-2")) {
 			text.append("[endpoint " + name + "]\nservice = archive\naddress = " + address(name)
 					+ "\ndata-centre = si-1\n\n");
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/ProtectedCallFailureTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/ProtectedCallFailureTests.java
@@ -127,6 +127,23 @@
 		assertThat(keys).allMatch((key) -> recordsWith(key) == 1);
 	}
 
+	@Test
+	void aStampThatTheServiceRefusedCanBeRepeatedWithItsKey() {
+		String key = Caller.newKey();
+		for (String archive : List.of("archive-1", "archive-2")) {
+			this.deployment.fault(archive, Map.of("mode", "DOWN", "forMillis", 600_000, "probability", 1.0,
+					"delayMillis", 0, "method", "POST"));
+		}
+		HttpReply refused = stamp("daemon-1", key);
+		assertThat(refused.status()).as(text(refused)).isEqualTo(503);
+		assertThat(refused.header("Retry-After")).isNotNull();
+		for (String archive : List.of("archive-1", "archive-2")) {
+			this.deployment.fault(archive, "NONE", 0);
+		}
+		await().atMost(Duration.ofSeconds(30)).until(() -> stamp("daemon-2", key).isSuccess());
+		assertThat(recordsWith(key)).isEqualTo(1);
+	}
+
 	@Test
 	void aKeyThatIsTooOldToBeCheckedIsRefusedAsNotRun() {
 		long twoHoursAgo = System.currentTimeMillis() - Duration.ofHours(2).toMillis();
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimEvent.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimEvent.java
@@ -47,6 +47,15 @@
 	record CallAnswered(RecordedResponse response) implements ClaimEvent {
 	}
 
+	/**
+	 * The service responded with a status by which it states that it did not execute the
+	 * call.
+	 *
+	 * @param status the HTTP status
+	 */
+	record CallRefused(int status) implements ClaimEvent {
+	}
+
 	/**
 	 * The call ended without a complete response.
 	 *
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimResult.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ClaimResult.java
@@ -17,6 +17,16 @@
 	record Done(RecordedResponse response, boolean replayed) implements ClaimResult {
 	}
 
+	/**
+	 * The service was reached and refused the call without executing it. The key is free
+	 * again.
+	 *
+	 * @param error the reason; {@link CodedException#isNotRun()} is {@code false},
+	 * because it rests on the service's word and not on the boundary
+	 */
+	record Refused(CodedException error) implements ClaimResult {
+	}
+
 	/**
 	 * The request was not run.
 	 *
--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/claim/ProtectedCall.java
@@ -96,6 +96,9 @@
 		if (event instanceof ClaimEvent.CallAnswered call) {
 			return onCallAnswered(call.response());
 		}
+		if (event instanceof ClaimEvent.CallRefused refusal) {
+			return onCallRefused(refusal.status());
+		}
 		if (event instanceof ClaimEvent.CallFailed failure) {
 			return onCallFailed(failure, nowEpochMillis);
 		}
@@ -235,6 +238,23 @@
 		return actions;
 	}
 
+	// The service's word that nothing was executed allows a release after the first byte.
+	private List<ClaimAction> onCallRefused(int status) {
+		require(this.won && this.boundary.isOpen(), "a call that was never sent was refused by the service");
+		require(this.state == State.SENDING, "a call was refused after it was answered or failed");
+		this.state = State.FINISHED;
+		this.released = true;
+		List<ClaimAction> actions = new ArrayList<>();
+		actions.add(append(this.request.release()));
+		if (!this.answered) {
+			CodedException error = this.boundary.failure(ErrorCode.OVERLOADED,
+					"the service refused the call with status " + status + "; repeat it with the same key",
+					RETRY_AFTER_MILLIS);
+			actions.add(answer(new ClaimResult.Refused(error)));
+		}
+		return actions;
+	}
+
 	private List<ClaimAction> onCallFailed(ClaimEvent.CallFailed failure, long nowEpochMillis) {
 		if (this.state != State.SENDING) {
 			return List.of();
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunDaemon.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ClaimRunDaemon.java
@@ -147,6 +147,10 @@
 	}
 
 	private void arrive(ProtectedRequest request) {
+		if (this.run.happens("refused by service", 0.1)) {
+			refuse(request);
+			return;
+		}
 		Optional<RecordedResponse> response = this.run.service.execute(request, this.run.now);
 		if (response.isEmpty()) {
 			this.run.count("refused by service after send-by");
@@ -158,6 +162,14 @@
 		this.run.after(this.run.delay(), this, () -> on(request.nonce(), new ClaimEvent.CallAnswered(response.get())));
 	}
 
+	private void refuse(ProtectedRequest request) {
+		if (this.run.happens("refusal lost", 0.15)) {
+			fail(request);
+			return;
+		}
+		this.run.after(this.run.delay(), this, () -> on(request.nonce(), new ClaimEvent.CallRefused(503)));
+	}
+
 	private void fail(ProtectedRequest request) {
 		this.run.after(this.run.delay(), this, () -> on(request.nonce(),
 				new ClaimEvent.CallFailed(true, ErrorCode.ENDPOINT_FAILED, "connection reset")));
--- a/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
+++ b/comfreyslip-coordination/src/test/java/org/comfreyslip/coordination/claim/ProtectedCallTests.java
@@ -250,6 +250,24 @@
 				ErrorCode.NOT_READY);
 	}
 
+	// Otherwise a stamp that an overloaded service refused could never be recorded under
+	// its key.
+	@Test
+	void aCallThatTheServiceRefusedFreesItsKeyAndMakesNoStatementOfNotRun() {
+		win();
+		this.call.tryStart(0);
+		List<ClaimAction> actions = on(new ClaimEvent.CallRefused(503));
+		assertThat(actions).contains(releaseOf("own"));
+		assertThat(result(actions)).isInstanceOfSatisfying(ClaimResult.Refused.class,
+				(refused) -> assertThat(refused.error().isNotRun()).isFalse());
+	}
+
+	@Test
+	void aRefusalOfACallThatWasNeverSentIsAnInvariantViolation() {
+		win();
+		assertViolation(() -> on(new ClaimEvent.CallRefused(503)));
+	}
+
 	@Test
 	void aRefusedClaimIsNotRun() {
 		on(new ClaimEvent.Started(FREE));
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
@@ -191,7 +191,9 @@
 			Throwable ex) {
 		if (ex == null) {
 			this.context.tables().succeed(endpoint.call(), now(), now() - sentAt);
-			onServiceEvent(new ClaimEvent.CallAnswered(response));
+			boolean refused = this.service.refusalStatuses().contains(response.status());
+			onServiceEvent(
+					(refused) ? new ClaimEvent.CallRefused(response.status()) : new ClaimEvent.CallAnswered(response));
 			return;
 		}
 		Throwable cause = Failures.unwrap(ex);
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -132,6 +132,10 @@
 			request.close(OutcomeClass.NOT_RUN, "not run: " + notRun.error().code());
 			Replies.error(context, notRun.error(), request.id());
 		}
+		else if (result instanceof ClaimResult.Refused refused) {
+			request.close(OutcomeClass.FAILED, "refused by the service: " + refused.error().getMessage());
+			Replies.error(context, refused.error(), request.id());
+		}
 		else if (result instanceof ClaimResult.Unknown unknown) {
 			request.close(OutcomeClass.UNKNOWN, "outcome unknown");
 			context.setResponseHeader("Location", unknown.lookupPath());
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/topology/ServiceSpec.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/topology/ServiceSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A plain service of the operators' text.
@@ -12,11 +13,13 @@
  * one
  * @param enforcesSendBy whether the service refuses calls that arrive after their send-by
  * time
+ * @param refusalStatuses the HTTP statuses by which the service states that it did not
+ * execute a call, possibly none
  * @param depends the services that this one needs, possibly empty
  * @param timeoutMillis the time limit of one call, in milliseconds
  */
 public record ServiceSpec(String name, List<CallPattern> protectedCalls, Optional<String> lookup,
-		boolean enforcesSendBy, List<String> depends, long timeoutMillis) {
+		boolean enforcesSendBy, Set<Integer> refusalStatuses, List<String> depends, long timeoutMillis) {
 
 	/**
 	 * Returns whether a call may not be repeated.
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/OperatorText.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/OperatorText.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Collectors;
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.routing.topology.AccountSpec;
@@ -72,8 +73,9 @@
 	private static ServiceSpec service(CheckedSection section) {
 		return new ServiceSpec(section.name(),
 				section.list("protected").stream().map(ValueRules::toCallPattern).toList(), section.find("lookup"),
-				Boolean.parseBoolean(section.find("enforces-send-by").orElse("false")), section.list("depends"),
-				section.number("timeout-ms", OperatorTextSchema.DEFAULT_TIMEOUT_MILLIS));
+				Boolean.parseBoolean(section.find("enforces-send-by").orElse("false")),
+				section.list("refusal-statuses").stream().map(Integer::valueOf).collect(Collectors.toUnmodifiableSet()),
+				section.list("depends"), section.number("timeout-ms", OperatorTextSchema.DEFAULT_TIMEOUT_MILLIS));
 	}
 
 	private static EndpointSpec endpoint(CheckedSection section) {
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/OperatorTextSchema.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/OperatorTextSchema.java
@@ -57,6 +57,7 @@
 			List.of(KeyRule.optional("protected", ValueRules.callPatterns(), "none"),
 					KeyRule.optional("lookup", ValueRules.lookupPath(), "none"),
 					KeyRule.optional("enforces-send-by", ValueRules.oneOf("true", "false"), "false"),
+					KeyRule.optional("refusal-statuses", ValueRules.errorStatuses(), "none"),
 					KeyRule.optional("depends", ValueRules.names("services"), "none"),
 					KeyRule.optional("timeout-ms", ValueRules.integer(1, MAX_TIMEOUT_MILLIS, "milliseconds"),
 							String.valueOf(DEFAULT_TIMEOUT_MILLIS))));
--- a/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
+++ b/comfreyslip-settings/src/main/java/org/comfreyslip/settings/ValueRules.java
@@ -102,6 +102,11 @@
 				"start each pattern with an HTTP method in upper case, such as POST /stamps/*");
 	}
 
+	static ValueRule errorStatuses() {
+		return new ValueRule((value) -> split(value).stream().allMatch((each) -> isBetween(each, 400, 599)),
+				"HTTP statuses from 400 to 599, separated by commas", "write the numbers alone, such as 429, 503");
+	}
+
 	static ValueRule lookupPath() {
 		return new ValueRule((value) -> PATH.matcher(value).matches() && value.split("\\{key}", -1).length == 2,
 				"a path that starts with / and contains {key} once", "write it like /stamps/by-key/{key}");
--- a/comfreyslip-settings/src/test/java/org/comfreyslip/settings/DependencyGraphTests.java
+++ b/comfreyslip-settings/src/test/java/org/comfreyslip/settings/DependencyGraphTests.java
@@ -97,7 +97,7 @@
 	}
 
 	private static ServiceSpec service(String name, String... depends) {
-		return new ServiceSpec(name, List.of(), Optional.empty(), false, List.of(depends), 1);
+		return new ServiceSpec(name, List.of(), Optional.empty(), false, Set.of(), List.of(depends), 1);
 	}
 
 	private static Topology topology(List<ServiceSpec> services) {
