Read open requests by their name in the status; end the processes of a failed set-up

The processes of a deployment whose set-up failed stayed alive after the test run; they are now closed.

--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -64,6 +64,18 @@
 	 * @return this deployment
 	 */
 	Deployment start(int daemonCount) {
+		try {
+			startAll(daemonCount);
+			return this;
+		}
+		catch (RuntimeException ex) {
+			// Otherwise the processes outlive a test whose set-up failed.
+			close();
+			throw ex;
+		}
+	}
+
+	private void startAll(int daemonCount) {
 		List<Runnable> starts = new ArrayList<>();
 		starts.add(() -> startStandin("log", "log"));
 		starts.add(() -> startStandin("hosts", "hosts", "--lag-millis", "200"));
@@ -85,7 +97,6 @@
 		inParallel(daemonStarts);
 		propose(text());
 		awaitReady();
-		return this;
 	}
 
 	static String engineName(String range, String kind) {
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
@@ -114,7 +114,7 @@
 	 */
 	public int open() {
 		JsonNode status = json(this.admin, "/admin/status");
-		int sum = status.path("openRequests").asInt(-1);
+		int sum = status.path("open_requests").asInt(-1);
 		for (JsonNode endpoint : status.path("endpoints")) {
 			sum += endpoint.path("outstanding").asInt();
 		}
