--- a/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/digest/Sha256.java
+++ b/comfreyslip-coordination/src/main/java/org/comfreyslip/coordination/digest/Sha256.java
@@ -20,7 +20,16 @@
 	 * @return the digest
 	 */
 	public static String ofText(String text) {
-		return HexFormat.of().formatHex(newDigest().digest(text.getBytes(StandardCharsets.UTF_8)));
+		return ofBytes(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Digests bytes.
+	 * @param bytes the bytes
+	 * @return the digest
+	 */
+	public static String ofBytes(byte[] bytes) {
+		return HexFormat.of().formatHex(newDigest().digest(bytes));
 	}
 
 	/**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallService.java
@@ -1,6 +1,5 @@
 package org.comfreyslip.daemon.claim;
 
-import java.nio.charset.StandardCharsets;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -10,6 +9,7 @@
 import org.comfreyslip.coordination.claim.ClaimResult;
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
 import org.comfreyslip.coordination.claim.ProtectedRequest;
+import org.comfreyslip.coordination.digest.Sha256;
 import org.comfreyslip.daemon.journal.RequestEntry;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.platform.PlatformHttp;
@@ -64,8 +64,7 @@
 	public CompletableFuture<ClaimResult> start(ClaimKey key, ServiceSpec service, ServiceCall call, long deadline,
 			RequestEntry entry) {
 		byte[] body = (call.body() != null) ? call.body() : new byte[0];
-		String digest = ServiceCalls.digest(call.method().getBytes(StandardCharsets.UTF_8),
-				call.path().getBytes(StandardCharsets.UTF_8), body);
+		String digest = Sha256.ofFields(call.method(), call.path(), Sha256.ofBytes(body));
 		long now = this.context.clock().getAsLong();
 		long sendBy = Math.min(deadline, now + SEND_BY_MILLIS * NANOS_PER_MILLI);
 		long sendByEpoch = this.context.epochClock().getAsLong() + (sendBy - now) / NANOS_PER_MILLI;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ServiceCalls.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ServiceCalls.java
@@ -5,11 +5,8 @@
 import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +16,7 @@
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.claim.ClaimKey;
 import org.comfreyslip.coordination.claim.RecordedResponse;
+import org.comfreyslip.coordination.digest.Sha256;
 import org.comfreyslip.platform.HttpHeader;
 import org.comfreyslip.platform.HttpStream;
 import org.comfreyslip.platform.PlatformHttp;
@@ -97,7 +95,7 @@
 				.orElse("");
 			boolean recorded = body.length <= RecordedResponse.MAX_BODY_BYTES;
 			String base64 = recorded ? Base64.getEncoder().encodeToString(body) : "";
-			return new RecordedResponse(stream.status(), type, digest(body), base64, recorded);
+			return new RecordedResponse(stream.status(), type, Sha256.ofBytes(body), base64, recorded);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -112,18 +110,4 @@
 		return bytes;
 	}
 
-	static String digest(byte[]... parts) {
-		try {
-			MessageDigest digest = MessageDigest.getInstance("SHA-256");
-			for (byte[] part : parts) {
-				digest.update(part);
-				digest.update((byte) 0);
-			}
-			return HexFormat.of().formatHex(digest.digest());
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java platform has SHA-256", ex);
-		}
-	}
-
 }
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/CredentialIndex.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/CredentialIndex.java
@@ -2,52 +2,49 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 
+import org.comfreyslip.coordination.digest.Sha256;
+
 /**
  * Finds the owner of a bearer key by the SHA-256 digest of the key.
  * <p>
- * The key itself is never compared: its digest selects the entry, and the digests are
- * then compared in constant time. The time of the look-up depends on the digest only,
- * from which nothing about a stored key follows.
+ * A key is never compared itself. The time of a look-up depends on its digest only, from
+ * which nothing about a stored key follows, and the digests are compared in constant
+ * time.
  *
  * @param <T> the type of owners
  */
 final class CredentialIndex<T> {
 
-	private final Map<String, T> owners = new HashMap<>();
+	private final Map<String, Credential<T>> credentials = new HashMap<>();
 
 	void add(String digest, T owner) {
-		this.owners.put(digest, owner);
+		this.credentials.put(digest, new Credential<>(digest, owner));
 	}
 
 	Optional<T> find(String key) {
-		byte[] digest = digest(key);
-		String text = HexFormat.of().formatHex(digest);
-		for (Map.Entry<String, T> entry : candidates(text)) {
-			if (MessageDigest.isEqual(HexFormat.of().parseHex(entry.getKey()), digest)) {
-				return Optional.of(entry.getValue());
-			}
-		}
-		return Optional.empty();
+		String digest = Sha256.ofText(key);
+		return Optional.ofNullable(this.credentials.get(digest))
+			.filter((credential) -> isEqual(credential.digest(), digest))
+			.map(Credential::owner);
 	}
 
-	private Iterable<Map.Entry<String, T>> candidates(String digest) {
-		T owner = this.owners.get(digest);
-		return (owner != null) ? java.util.List.of(Map.entry(digest, owner)) : java.util.List.of();
+	private static boolean isEqual(String first, String second) {
+		return MessageDigest.isEqual(first.getBytes(StandardCharsets.US_ASCII),
+				second.getBytes(StandardCharsets.US_ASCII));
 	}
 
-	private static byte[] digest(String key) {
-		try {
-			return MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java platform has SHA-256", ex);
-		}
+	/**
+	 * A stored credential.
+	 *
+	 * @param <T> the type of owners
+	 * @param digest the digest of the key, in lower-case hex
+	 * @param owner the owner
+	 */
+	private record Credential<T>(String digest, T owner) {
 	}
 
 }
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedText.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedText.java
@@ -1,12 +1,9 @@
 package org.comfreyslip.load.embedded;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 
+import org.comfreyslip.coordination.digest.Sha256;
 import org.comfreyslip.load.scenario.KindPlan;
 import org.comfreyslip.load.scenario.TopologyPlan;
 
@@ -40,7 +37,7 @@
 					+ endpoints.get(i) + "\ndata-centre = " + DATA_CENTRE + "\n\n");
 		}
 		for (int i = 0; i < keys.size(); i++) {
-			text.append("[account account-" + (i + 1) + "]\ncredential-sha256 = " + sha256(keys.get(i))
+			text.append("[account account-" + (i + 1) + "]\ncredential-sha256 = " + Sha256.ofText(keys.get(i))
 					+ "\nmax-concurrent = 100000\n\n");
 		}
 		return text.toString();
@@ -55,14 +52,4 @@
 				+ "\nhost-list = " + addresses.get("hosts") + "\nweight-store = " + addresses.get("weights") + "\n";
 	}
 
-	static String sha256(String text) {
-		try {
-			byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(digest);
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
