Send nothing for a run whose caller left before its start

Found by reading: a caller that left while the prompt was tokenized ended the run, and the start that followed began it again, with nobody to end it. A caller that left after the end of its answer counted the answer's passes twice.

--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
@@ -85,6 +85,9 @@
 	}
 
 	synchronized void callerGone() {
+		if (this.run.isDone()) {
+			return;
+		}
 		this.entry.note("the caller left");
 		perform(this.run.onCallerGone());
 		end();
--- a/comfreyslip-routing/src/main/java/org/comfreyslip/routing/pipeline/PipelineRun.java
+++ b/comfreyslip-routing/src/main/java/org/comfreyslip/routing/pipeline/PipelineRun.java
@@ -110,11 +110,13 @@
 	/**
 	 * Starts the run with the prompt's step on the first stage.
 	 * @param now the present time
-	 * @return what to do
+	 * @return what to do; empty if the caller left before
 	 */
 	public List<PipelineAction> start(long now) {
 		Actions actions = new Actions();
-		sendCurrent(now, actions);
+		if (this.phase == Phase.NEW) {
+			sendCurrent(now, actions);
+		}
 		return actions.list();
 	}
 
--- /dev/null
+++ b/comfreyslip-routing/src/test/java/org/comfreyslip/routing/pipeline/PipelineRunTests.java
@@ -0,0 +1,70 @@
+package org.comfreyslip.routing.pipeline;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreyslip.coordination.CodedException;
+import org.comfreyslip.coordination.ErrorCode;
+import org.comfreyslip.routing.pipeline.PipelineAction.CancelStream;
+import org.comfreyslip.routing.pipeline.PipelineAction.Fail;
+import org.comfreyslip.routing.pipeline.PipelineAction.SendStep;
+import org.comfreyslip.routing.topology.LayerRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards the ends of a run: callers that leave, deadlines and plans with gaps.
+ */
+class PipelineRunTests {
+
+	private static final long DEADLINE = 1_000;
+
+	private static final PipelineLimits LIMITS = new PipelineLimits(10, DEADLINE, 100, 10, 100, 500, 3);
+
+	private final PipelineRun run = new PipelineRun("r", 4,
+			List.of(new PipelineStage("a", new LayerRange(0, 2)), new PipelineStage("b", new LayerRange(2, 4))),
+			List.of(1, 2, 3), LIMITS);
+
+	@Test
+	void aRunWhoseCallerLeftBeforeItsStartSendsNothing() {
+		this.run.onCallerGone();
+		assertThat(this.run.start(0)).isEmpty();
+		assertThat(this.run.isDone()).isTrue();
+	}
+
+	@Test
+	void aCallerThatLeavesFreesTheStreamOnEveryEngine() {
+		this.run.start(0);
+		assertThat(this.run.onCallerGone()).containsExactly(new CancelStream("a", "r", 1),
+				new CancelStream("b", "r", 1));
+		assertThat(this.run.onCallerGone()).isEmpty();
+	}
+
+	@Test
+	void theDeadlineEndsTheAnswerWithAnError() {
+		this.run.start(0);
+		assertThat(this.run.onTimer(DEADLINE))
+			.anyMatch((action) -> action instanceof Fail fail && fail.code() == ErrorCode.DEADLINE_EXCEEDED);
+	}
+
+	@Test
+	void anAnswerThatArrivesAfterTheEndIsDropped() {
+		SendStep step = (SendStep) this.run.start(0).get(0);
+		this.run.onCallerGone();
+		StepAnswer answer = new StepAnswer(new byte[8], Optional.empty());
+		assertThat(this.run.onStepAnswer(step.id(), answer, 1)).isEmpty();
+		assertThat(this.run.droppedAnswers()).isOne();
+	}
+
+	@Test
+	void stagesThatLeaveALayerOutAreRefused() {
+		List<PipelineStage> gap = List.of(new PipelineStage("a", new LayerRange(0, 2)),
+				new PipelineStage("b", new LayerRange(3, 4)));
+		assertThatExceptionOfType(CodedException.class)
+			.isThrownBy(() -> new PipelineRun("r", 4, gap, List.of(1), LIMITS))
+			.matches((ex) -> ex.code() == ErrorCode.INVARIANT_VIOLATED);
+	}
+
+}
