--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/AnswerFailureTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/AnswerFailureTests.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Caller.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Caller.java
@@ -7,14 +7,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.PlatformJson;
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.TokenizeRequest;
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.PlatformJson;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.TokenizeRequest;
 import org.comfreyslip.standins.engine.ReferenceModel;
 
 /**
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/CommandResult.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/CommandResult.java
@@ -1,8 +1,8 @@
 package org.comfreyslip.acceptance;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.operator.ExitCode;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Result of one run of the operators' command.
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/DrainTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/DrainTests.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
 import org.comfreyslip.standins.engine.ReferenceModel;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/OperatorSite.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/OperatorSite.java
@@ -15,12 +15,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.awaitility.Awaitility;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.operator.ExitCode;
 import org.comfreyslip.operator.OperatorMain;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * A deployment with two daemons, seen from the operators' desk.
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/ProtectedCallFailureTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/ProtectedCallFailureTests.java
@@ -8,10 +8,10 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformJson;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformJson;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
@@ -3,8 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Tag;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/CallFailedException.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/CallFailedException.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/CallState.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/CallState.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 /**
  * Tag of an OkHttp call: its limits and how far it got.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/ErrorBody.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/ErrorBody.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 /**
  * Body of an error response of the platform and of the engines.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformFutures.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/PlatformFutures.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformJson.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/PlatformJson.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 import java.io.IOException;
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/PlatformTimeouts.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/PlatformTimeouts.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 /**
  * Default time limits of calls, in milliseconds.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/BlockHash.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/BlockHash.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hasher64;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/EngineClient.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/EngineClient.java
@@ -1,16 +1,16 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformFutures;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformFutures;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Client of one model engine. A refusal is a {@link CodedException} with the engine's
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/EngineLoad.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/EngineLoad.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 /**
  * Load of an engine. It lags behind the real state.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/EngineOrder.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/EngineOrder.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 /**
  * Order to an engine. It states a desired end state, so it may be repeated.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/StepRequest.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/StepRequest.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 import org.comfreyslip.routing.topology.Priority;
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/TokenizeReply.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/TokenizeReply.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
 
 /**
  * Tokens of a text.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/engine/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/engine/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Client of a model engine and its messages.
  */
-package org.comfreyslip.platform.engine;
+package org.comfreyslip.clients.engine;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostEntry.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/hosts/HostEntry.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.hosts;
+package org.comfreyslip.clients.hosts;
 
 /**
  * One host.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostList.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/hosts/HostList.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.hosts;
+package org.comfreyslip.clients.hosts;
 
 import java.util.List;
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostListClient.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/hosts/HostListClient.java
@@ -1,11 +1,11 @@
-package org.comfreyslip.platform.hosts;
+package org.comfreyslip.clients.hosts;
 
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.PlatformFutures;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CodedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.PlatformFutures;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Client of the platform's host list.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/HostState.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/hosts/HostState.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.hosts;
+package org.comfreyslip.clients.hosts;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/hosts/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/hosts/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Client of the platform's host list.
  */
-package org.comfreyslip.platform.hosts;
+package org.comfreyslip.clients.hosts;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogClient.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/log/LogClient.java
@@ -1,14 +1,14 @@
-package org.comfreyslip.platform.log;
+package org.comfreyslip.clients.log;
 
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformFutures;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformFutures;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Client of the platform's append-only log.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/LogRecord.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/log/LogRecord.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.log;
+package org.comfreyslip.clients.log;
 
 /**
  * One record of a log stream.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/log/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/log/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Client of the platform's append-only log.
  */
-package org.comfreyslip.platform.log;
+package org.comfreyslip.clients.log;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The HTTP layer that all clients of the platform share.
  */
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/record/ConfigRecordCodec.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/record/ConfigRecordCodec.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.record;
+package org.comfreyslip.clients.record;
 
 import java.util.Optional;
 
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/record/RecordJson.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/record/RecordJson.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.record;
+package org.comfreyslip.clients.record;
 
 import java.io.IOException;
 import java.util.Optional;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/record/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/record/package-info.java
@@ -1,4 +1,4 @@
 /**
  * JSON encoding of the records on the system's own log streams.
  */
-package org.comfreyslip.platform.record;
+package org.comfreyslip.clients.record;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/service/ServiceCall.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/service/ServiceCall.java
@@ -1,8 +1,8 @@
-package org.comfreyslip.platform.service;
+package org.comfreyslip.clients.service;
 
 import java.util.List;
 
-import org.comfreyslip.platform.HttpHeader;
+import org.comfreyslip.clients.HttpHeader;
 
 /**
  * A call to a plain service.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/service/ServiceClient.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/service/ServiceClient.java
@@ -1,13 +1,13 @@
-package org.comfreyslip.platform.service;
+package org.comfreyslip.clients.service;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpStream;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CallBoundary;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpStream;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Client of one endpoint of a plain service. A call is sent at most once.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/service/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/service/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Client of plain application services.
  */
-package org.comfreyslip.platform.service;
+package org.comfreyslip.clients.service;
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/weights/RateLeaseRequest.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/weights/RateLeaseRequest.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform.weights;
+package org.comfreyslip.clients.weights;
 
 /**
  * Request for permission to fetch weights.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/weights/WeightStoreClient.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/weights/WeightStoreClient.java
@@ -1,11 +1,11 @@
-package org.comfreyslip.platform.weights;
+package org.comfreyslip.clients.weights;
 
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.PlatformFutures;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CodedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.PlatformFutures;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Client of the platform's weight store.
--- a/comfreyslip-platform/src/main/java/org/comfreyslip/platform/weights/package-info.java
+++ b/comfreyslip-clients/src/main/java/org/comfreyslip/clients/weights/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Client of the platform's weight store.
  */
-package org.comfreyslip.platform.weights;
+package org.comfreyslip.clients.weights;
--- a/comfreyslip-platform/src/test/java/org/comfreyslip/platform/PlatformHttpTests.java
+++ b/comfreyslip-clients/src/test/java/org/comfreyslip/clients/PlatformHttpTests.java
@@ -1,4 +1,4 @@
-package org.comfreyslip.platform;
+package org.comfreyslip.clients;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -11,10 +11,10 @@
 import java.util.concurrent.CountDownLatch;
 
 import org.awaitility.Awaitility;
+import org.comfreyslip.clients.service.ServiceCall;
+import org.comfreyslip.clients.service.ServiceClient;
 import org.comfreyslip.coordination.CallBoundary;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.service.ServiceCall;
-import org.comfreyslip.platform.service.ServiceClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -15,6 +15,8 @@
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.comfreyslip.clients.ErrorBody;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.daemon.DaemonEvent;
@@ -26,8 +28,6 @@
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
-import org.comfreyslip.platform.ErrorBody;
-import org.comfreyslip.platform.PlatformJson;
 import org.comfreyslip.settings.TlsSection;
 
 /**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/answer/AnswerDriver.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.comfreyslip.clients.engine.StepReply;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.Failures;
 import org.comfreyslip.daemon.journal.RequestEntry;
-import org.comfreyslip.platform.engine.StepReply;
 import org.comfreyslip.routing.pipeline.PipelineAction;
 import org.comfreyslip.routing.pipeline.PipelineAction.CancelStream;
 import org.comfreyslip.routing.pipeline.PipelineAction.ChooseReplacement;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditBatchCodec.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditBatchCodec.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.comfreyslip.clients.record.AuditRecordCodec;
 import org.comfreyslip.coordination.audit.AuditRecord;
-import org.comfreyslip.platform.record.AuditRecordCodec;
 
 /**
  * Encoding of a batch as one log record: one JSON object a line. JSON strings contain no
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditLog.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/audit/AuditLog.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.log.LogClient;
 import org.comfreyslip.coordination.audit.AuditBuffer;
 import org.comfreyslip.coordination.audit.AuditChain;
 import org.comfreyslip.coordination.audit.AuditEvent;
 import org.comfreyslip.coordination.audit.AuditRecord;
 import org.comfreyslip.coordination.audit.AuditRecord.Kind;
 import org.comfreyslip.daemon.DaemonEvent;
-import org.comfreyslip.platform.log.LogClient;
 
 /**
  * Buffers this daemon's audit entries and appends them in batches, at most one a second.
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ClaimLog.java
@@ -10,6 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
+import org.comfreyslip.clients.record.ClaimBatchCodec;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.claim.ClaimAppend;
@@ -23,10 +27,6 @@
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
 import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.Failures;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
-import org.comfreyslip.platform.record.ClaimBatchCodec;
 
 /**
  * Follows the claim streams and appends to them. Its lock is the lock of the claim folds;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallDriver.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.service.ServiceCall;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.claim.ClaimAction;
@@ -24,8 +26,6 @@
 import org.comfreyslip.daemon.Failures;
 import org.comfreyslip.daemon.journal.RequestEntry;
 import org.comfreyslip.daemon.route.SelectedEndpoint;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.service.ServiceCall;
 import org.comfreyslip.routing.endpoint.EndpointFailure;
 import org.comfreyslip.routing.topology.ServiceSpec;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ProtectedCallService.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.service.ServiceCall;
 import org.comfreyslip.coordination.claim.ClaimKey;
 import org.comfreyslip.coordination.claim.ClaimResult;
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
@@ -12,8 +14,6 @@
 import org.comfreyslip.coordination.digest.Sha256;
 import org.comfreyslip.daemon.journal.RequestEntry;
 import org.comfreyslip.daemon.route.RoutingTables;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.service.ServiceCall;
 import org.comfreyslip.routing.topology.ServiceSpec;
 
 /**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ServiceCalls.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/claim/ServiceCalls.java
@@ -12,16 +12,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpStream;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.service.ServiceCall;
+import org.comfreyslip.clients.service.ServiceClient;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.claim.ClaimKey;
 import org.comfreyslip.coordination.claim.RecordedResponse;
 import org.comfreyslip.coordination.digest.Sha256;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpStream;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.service.ServiceCall;
-import org.comfreyslip.platform.service.ServiceClient;
 import org.comfreyslip.routing.topology.EndpointSpec;
 import org.comfreyslip.routing.topology.ServiceSpec;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigCheckpointer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigCheckpointer.java
@@ -7,12 +7,12 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.CheckpointSchedule;
 import org.comfreyslip.coordination.config.ConfigRecord.Checkpoint;
 import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.daemon.DaemonEvent;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 
 /**
  * Appends checkpoints of the configuration while this daemon holds the maintenance lease.
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/config/ConfigFollower.java
@@ -10,16 +10,16 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigBootstrap;
 import org.comfreyslip.coordination.config.ConfigFold;
 import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.coordination.config.ConfigVerdict;
 import org.comfreyslip.coordination.config.LoggedConfigRecord;
 import org.comfreyslip.daemon.DaemonEvent;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 
 /**
  * Follows the log stream {@code config} with long-poll reads and puts each accepted
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -12,6 +12,7 @@
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.coordination.CallBoundary;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
@@ -23,7 +24,6 @@
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
-import org.comfreyslip.platform.PlatformHttp;
 import org.comfreyslip.settings.TlsSection;
 
 /**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/EventAnswerSink.java
@@ -4,9 +4,9 @@
 
 import io.jooby.Context;
 import io.jooby.Sender;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.daemon.answer.AnswerSink;
-import org.comfreyslip.platform.PlatformJson;
 import org.comfreyslip.routing.pipeline.FinishReason;
 import org.comfreyslip.routing.pipeline.GeneratedToken;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RepeatableCalls.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/RepeatableCalls.java
@@ -12,17 +12,17 @@
 
 import io.jooby.Context;
 import io.jooby.Sender;
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpStream;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.service.ServiceCall;
+import org.comfreyslip.clients.service.ServiceClient;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.daemon.Failures;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.route.SelectedEndpoint;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpStream;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.service.ServiceCall;
-import org.comfreyslip.platform.service.ServiceClient;
 import org.comfreyslip.routing.endpoint.EndpointFailure;
 import org.comfreyslip.routing.topology.ServiceSpec;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/Replies.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/Replies.java
@@ -1,11 +1,11 @@
 package org.comfreyslip.daemon.http;
 
 import io.jooby.Context;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.Failures;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Writes responses to callers.
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/ServiceRoutes.java
@@ -9,6 +9,8 @@
 import java.util.random.RandomGenerator;
 
 import io.jooby.Context;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.service.ServiceCall;
 import org.comfreyslip.coordination.CallBoundary;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
@@ -18,8 +20,6 @@
 import org.comfreyslip.coordination.claim.RecordedResponse;
 import org.comfreyslip.daemon.claim.OutcomeView;
 import org.comfreyslip.daemon.claim.ProtectedCallService;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.service.ServiceCall;
 import org.comfreyslip.routing.topology.ServiceSpec;
 import org.comfreyslip.settings.DependencyNode;
 
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/EngineView.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/EngineView.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.comfreyslip.platform.engine.EngineState;
+import org.comfreyslip.clients.engine.EngineState;
 import org.comfreyslip.routing.placement.PlacementEngine;
 import org.comfreyslip.routing.placement.PlacementTarget;
 import org.comfreyslip.routing.topology.EngineSpec;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/MaintenanceLease.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/MaintenanceLease.java
@@ -9,6 +9,10 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
+import org.comfreyslip.clients.record.LeaseRecordCodec;
 import org.comfreyslip.coordination.lease.LeaseFold;
 import org.comfreyslip.coordination.lease.LeaseHolder;
 import org.comfreyslip.coordination.lease.LeaseRecord;
@@ -16,10 +20,6 @@
 import org.comfreyslip.coordination.lease.LeaseTiming;
 import org.comfreyslip.coordination.lease.LeaseVerdict;
 import org.comfreyslip.daemon.DaemonEvent;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
-import org.comfreyslip.platform.record.LeaseRecordCodec;
 
 /**
  * Contends for the lease under which one daemon writes checkpoints and gives orders to
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/OrderGoal.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/OrderGoal.java
@@ -1,8 +1,8 @@
 package org.comfreyslip.daemon.order;
 
-import org.comfreyslip.platform.engine.EngineOrder;
-import org.comfreyslip.platform.engine.EngineState;
-import org.comfreyslip.platform.engine.OrderAction;
+import org.comfreyslip.clients.engine.EngineOrder;
+import org.comfreyslip.clients.engine.EngineState;
+import org.comfreyslip.clients.engine.OrderAction;
 import org.comfreyslip.routing.placement.PlacementOrder;
 import org.comfreyslip.routing.placement.PlacementOrder.LoadAdapter;
 import org.comfreyslip.routing.placement.PlacementOrder.LoadRange;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/OrderRun.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/OrderRun.java
@@ -5,15 +5,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.EngineOrder;
+import org.comfreyslip.clients.engine.EngineState;
+import org.comfreyslip.clients.weights.RateLease;
+import org.comfreyslip.clients.weights.WeightStoreClient;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.lease.OrderEndpoint;
 import org.comfreyslip.coordination.lease.OrderGate;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.EngineOrder;
-import org.comfreyslip.platform.engine.EngineState;
-import org.comfreyslip.platform.weights.RateLease;
-import org.comfreyslip.platform.weights.WeightStoreClient;
 
 /**
  * Drives one order: asks the weight store first, then follows the gate. Thread-safe; the
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/PlacementService.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/order/PlacementService.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.engine.EngineState;
+import org.comfreyslip.clients.weights.WeightStoreClient;
 import org.comfreyslip.coordination.lease.OrderEndpoint;
 import org.comfreyslip.coordination.lease.OrderGate;
 import org.comfreyslip.daemon.DaemonEvent;
@@ -19,8 +21,6 @@
 import org.comfreyslip.daemon.route.EndpointStatus;
 import org.comfreyslip.daemon.route.EngineClients;
 import org.comfreyslip.daemon.route.RoutingTables;
-import org.comfreyslip.platform.engine.EngineState;
-import org.comfreyslip.platform.weights.WeightStoreClient;
 import org.comfreyslip.routing.endpoint.EndpointState;
 import org.comfreyslip.routing.placement.PlacementEngine;
 import org.comfreyslip.routing.placement.PlacementOrder;
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerRequestSearch.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/peer/PeerRequestSearch.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.membership.Member;
 import org.comfreyslip.daemon.journal.FoundRequest;
 import org.comfreyslip.daemon.journal.RequestRecord;
 import org.comfreyslip.daemon.journal.RequestSearch;
-import org.comfreyslip.platform.PlatformJson;
 import org.comfreyslip.wire.FindRequestReply;
 
 /**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/EngineClients.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/EngineClients.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.engine.EngineClient;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.engine.EngineClient;
 import org.comfreyslip.routing.topology.EngineSpec;
 
 /**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/route/RoutingTables.java
@@ -10,9 +10,9 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.comfreyslip.clients.engine.EngineLoad;
 import org.comfreyslip.daemon.DaemonEvent;
 import org.comfreyslip.daemon.config.ConfigInForce;
-import org.comfreyslip.platform.engine.EngineLoad;
 import org.comfreyslip.routing.endpoint.EndpointCall;
 import org.comfreyslip.routing.endpoint.EndpointEntry;
 import org.comfreyslip.routing.endpoint.EndpointFailure;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonOrderTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonOrderTests.java
@@ -1,8 +1,8 @@
 package org.comfreyslip.daemon;
 
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.EngineState;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.EngineState;
 import org.comfreyslip.standins.StandinKind;
 import org.comfreyslip.standins.StandinServer;
 import org.junit.jupiter.api.AfterEach;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonPeersTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/DaemonPeersTests.java
@@ -2,15 +2,15 @@
 
 import java.util.List;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.audit.AuditChain;
 import org.comfreyslip.coordination.audit.AuditFault;
 import org.comfreyslip.coordination.audit.AuditRecord;
 import org.comfreyslip.coordination.audit.AuditRecord.Kind;
 import org.comfreyslip.daemon.audit.AuditBatchCodec;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.comfreyslip.standins.FaultMode;
 import org.comfreyslip.standins.FaultOrder;
 import org.junit.jupiter.api.AfterEach;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
@@ -15,13 +15,13 @@
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigVersion;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.comfreyslip.settings.DaemonSettings;
 import org.comfreyslip.standins.StandinKind;
 import org.comfreyslip.standins.StandinServer;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/admin/AdminReportsTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/admin/AdminReportsTests.java
@@ -7,6 +7,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.config.ConfigSnapshot;
@@ -16,7 +17,6 @@
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.route.RoutingTables;
-import org.comfreyslip.platform.PlatformJson;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.daemon.InProcessDeployment;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformJson;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/CredentialSecrecyTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/CredentialSecrecyTests.java
@@ -4,11 +4,11 @@
 import java.util.List;
 
 import org.apache.logging.log4j.LogManager;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
 import org.comfreyslip.daemon.InProcessDeployment;
 import org.comfreyslip.daemon.LogCapture;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/order/MaintenanceLeaseTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/order/MaintenanceLeaseTests.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.log.LogClient;
 import org.comfreyslip.daemon.DaemonGroup;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.log.LogClient;
 import org.comfreyslip.standins.StandinKind;
 import org.comfreyslip.standins.StandinServer;
 import org.junit.jupiter.api.AfterEach;
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/ScenarioRun.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/ScenarioRun.java
@@ -8,6 +8,9 @@
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.load.embedded.EmbeddedDeployment;
 import org.comfreyslip.load.embedded.ProcessUsage;
 import org.comfreyslip.load.report.ProcessSummary;
@@ -23,9 +26,6 @@
 import org.comfreyslip.load.scenario.Scenario;
 import org.comfreyslip.load.scenario.ScenarioException;
 import org.comfreyslip.load.scenario.TargetPlan;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * One run with its deployment, measurements and summary.
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedDeployment.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedDeployment.java
@@ -15,17 +15,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.daemon.DaemonMain;
 import org.comfreyslip.load.scenario.Scenario;
 import org.comfreyslip.load.scenario.TargetPlan;
 import org.comfreyslip.load.scenario.TopologyPlan;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.comfreyslip.standins.StandinMain;
 
 /**
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/CompletionCaller.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/CompletionCaller.java
@@ -9,15 +9,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.HttpStream;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.load.scenario.Arrival;
 import org.comfreyslip.load.scenario.RequestKind;
 import org.comfreyslip.load.scenario.TargetPlan;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.HttpStream;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Asks daemons for completions.
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/DirectCaller.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/DirectCaller.java
@@ -4,14 +4,14 @@
 import java.util.List;
 import java.util.concurrent.CompletionException;
 
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
+import org.comfreyslip.clients.engine.TokenizeRequest;
 import org.comfreyslip.load.scenario.Arrival;
 import org.comfreyslip.load.scenario.TargetPlan;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
-import org.comfreyslip.platform.engine.TokenizeRequest;
 import org.comfreyslip.routing.topology.Priority;
 
 /**
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/ErrorAnswer.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/ErrorAnswer.java
@@ -1,10 +1,10 @@
 package org.comfreyslip.load.run;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Judges error answers.
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/FaultDriver.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/FaultDriver.java
@@ -6,12 +6,12 @@
 import java.util.List;
 import java.util.Map;
 
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.load.embedded.EmbeddedDeployment;
 import org.comfreyslip.load.scenario.FaultPlan;
 import org.comfreyslip.load.scenario.FaultPlan.FaultAction;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * Performs the faults of a scenario at their times.
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/LoadRun.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/LoadRun.java
@@ -10,12 +10,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.clients.PlatformHttp;
 import org.comfreyslip.load.embedded.EmbeddedDeployment;
 import org.comfreyslip.load.scenario.Arrival;
 import org.comfreyslip.load.scenario.FaultPlan.FaultAction;
 import org.comfreyslip.load.scenario.Scenario;
 import org.comfreyslip.load.scenario.TargetPlan;
-import org.comfreyslip.platform.PlatformHttp;
 
 /**
  * One open-loop run: every request is sent at its intended time, whether or not earlier
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/ServiceCaller.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/ServiceCaller.java
@@ -10,15 +10,15 @@
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
 import org.comfreyslip.load.scenario.Arrival;
 import org.comfreyslip.load.scenario.Scenario;
 import org.comfreyslip.load.scenario.TargetPlan;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Records stamps and looks their outcomes up. A stamp that was not run, failed or has an
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/StreamCheck.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/StreamCheck.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Checks a completion by server-sent events while it arrives: one choice with index 0,
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/run/UnaryCheck.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/run/UnaryCheck.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Checks a completion in one piece.
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/ClaimSlope.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/ClaimSlope.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
+import org.comfreyslip.clients.record.ClaimBatchCodec;
 import org.comfreyslip.coordination.claim.ClaimBatch;
 import org.comfreyslip.coordination.claim.ClaimFold;
 import org.comfreyslip.coordination.claim.ClaimKey;
@@ -10,7 +11,6 @@
 import org.comfreyslip.coordination.claim.IdempotencyKeyPolicy;
 import org.comfreyslip.coordination.claim.RecordedResponse;
 import org.comfreyslip.coordination.digest.Sha256;
-import org.comfreyslip.platform.record.ClaimBatchCodec;
 
 /**
  * Reading and folding of claim and outcome of one call, with a recorded body of 96
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/ConfigSlopes.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/slopes/ConfigSlopes.java
@@ -2,13 +2,13 @@
 
 import java.util.SplittableRandom;
 
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigDelta;
 import org.comfreyslip.coordination.config.ConfigFold;
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.route.RoutingTables;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.comfreyslip.routing.plan.PlanRequest;
 
 /**
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ConfigHistoryReader.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ConfigHistoryReader.java
@@ -6,6 +6,10 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
 import org.comfreyslip.coordination.config.ConfigBootstrap;
@@ -14,10 +18,6 @@
 import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.coordination.config.ConfigVerdict;
 import org.comfreyslip.coordination.config.LoggedConfigRecord;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 
 /**
  * Reads the configuration stream into a {@link ConfigHistory} and appends to it.
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/HttpDaemonApi.java
@@ -7,14 +7,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import okhttp3.HttpUrl;
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpHeader;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpHeader;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Calls to a daemon over HTTP.
--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Invocation.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 import org.apache.commons.cli.CommandLine;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.log.LogClient;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.log.LogClient;
 
 /**
  * One run of a subcommand: its arguments, connections and output.
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/LogServer.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/LogServer.java
@@ -14,8 +14,8 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-import org.comfreyslip.platform.PlatformJson;
-import org.comfreyslip.platform.log.AppendRequest;
+import org.comfreyslip.clients.PlatformJson;
+import org.comfreyslip.clients.log.AppendRequest;
 
 /**
  * Log service in memory with failures that a test switches on.
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/OperatorCommandTests.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/OperatorCommandTests.java
@@ -5,9 +5,9 @@
 import java.nio.file.Path;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigRecord.Proposal;
 import org.comfreyslip.coordination.config.ConfigVersion;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/comfreyslip-operator/src/test/java/org/comfreyslip/operator/ProposeSubcommandTests.java
+++ b/comfreyslip-operator/src/test/java/org/comfreyslip/operator/ProposeSubcommandTests.java
@@ -2,12 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 
+import org.comfreyslip.clients.record.ConfigRecordCodec;
 import org.comfreyslip.coordination.config.ConfigRecord.Checkpoint;
 import org.comfreyslip.coordination.config.ConfigRecord.Proposal;
 import org.comfreyslip.coordination.config.ConfigSnapshot;
 import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.coordination.digest.Sha256;
-import org.comfreyslip.platform.record.ConfigRecordCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinReply.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinReply.java
@@ -3,10 +3,10 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.ErrorBody;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.ErrorBody;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Response of a stand-in.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinRequest.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinRequest.java
@@ -1,9 +1,9 @@
 package org.comfreyslip.standins;
 
 import io.jooby.Context;
+import org.comfreyslip.clients.PlatformJson;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.PlatformJson;
 
 /**
  * Request to a stand-in.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/CacheEventLog.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/CacheEventLog.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import org.comfreyslip.platform.engine.CacheEvent;
-import org.comfreyslip.platform.engine.CacheEventPage;
+import org.comfreyslip.clients.engine.CacheEvent;
+import org.comfreyslip.clients.engine.CacheEventPage;
 
 /**
  * Events of the prefix cache, offered late and with gaps. Not thread-safe.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineCore.java
@@ -7,17 +7,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import org.comfreyslip.clients.engine.BlockHash;
+import org.comfreyslip.clients.engine.CacheEventPage;
+import org.comfreyslip.clients.engine.EngineLoad;
+import org.comfreyslip.clients.engine.EngineOrder;
+import org.comfreyslip.clients.engine.EngineState;
+import org.comfreyslip.clients.engine.KvCache;
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.engine.BlockHash;
-import org.comfreyslip.platform.engine.CacheEventPage;
-import org.comfreyslip.platform.engine.EngineLoad;
-import org.comfreyslip.platform.engine.EngineOrder;
-import org.comfreyslip.platform.engine.EngineState;
-import org.comfreyslip.platform.engine.KvCache;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
 import org.comfreyslip.routing.topology.LayerRange;
 
 /**
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStep.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStep.java
@@ -3,8 +3,8 @@
 import java.util.Comparator;
 import java.util.concurrent.CompletableFuture;
 
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.routing.topology.LayerRange;
 import org.comfreyslip.routing.topology.Priority;
 
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStream.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/EngineStream.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
 
 /**
  * What the engine knows of one stream. Not thread-safe.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadReport.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadReport.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import org.comfreyslip.platform.engine.EngineLoad;
+import org.comfreyslip.clients.engine.EngineLoad;
 
 /**
  * Load that is measured again only after a lag. Not thread-safe.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadedModel.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/LoadedModel.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.comfreyslip.clients.engine.EngineOrder;
+import org.comfreyslip.clients.engine.EngineState;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.engine.EngineOrder;
-import org.comfreyslip.platform.engine.EngineState;
-import org.comfreyslip.platform.engine.StepRequest;
 import org.comfreyslip.routing.topology.FencingMode;
 import org.comfreyslip.routing.topology.LayerRange;
 
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PassCount.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PassCount.java
@@ -1,6 +1,6 @@
 package org.comfreyslip.standins.engine;
 
-import org.comfreyslip.platform.engine.StepKind;
+import org.comfreyslip.clients.engine.StepKind;
 
 /**
  * How often a layer range ran for one position.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PrefixCache.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/PrefixCache.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import org.comfreyslip.platform.engine.BlockHash;
+import org.comfreyslip.clients.engine.BlockHash;
 
 /**
  * Prefix cache over token blocks; the least recently used block goes first. Not
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/ReferenceModel.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/ReferenceModel.java
@@ -4,7 +4,7 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
-import org.comfreyslip.platform.engine.StepToken;
+import org.comfreyslip.clients.engine.StepToken;
 
 /**
  * A model in which every pass of every layer matters. The hidden value of a position is a
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/StepIdentity.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/StepIdentity.java
@@ -1,6 +1,6 @@
 package org.comfreyslip.standins.engine;
 
-import org.comfreyslip.platform.engine.StepRequest;
+import org.comfreyslip.clients.engine.StepRequest;
 
 /**
  * Identity of a step within its stream.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/StepRunner.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/engine/StepRunner.java
@@ -2,11 +2,11 @@
 
 import java.nio.ByteBuffer;
 
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepRequest;
+import org.comfreyslip.clients.engine.StepToken;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepRequest;
-import org.comfreyslip.platform.engine.StepToken;
 import org.comfreyslip.routing.topology.LayerRange;
 
 /**
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/hosts/HostListStandin.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/hosts/HostListStandin.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 import org.apache.commons.cli.Options;
-import org.comfreyslip.platform.hosts.HostEntry;
-import org.comfreyslip.platform.hosts.HostList;
-import org.comfreyslip.platform.hosts.HostState;
+import org.comfreyslip.clients.hosts.HostEntry;
+import org.comfreyslip.clients.hosts.HostList;
+import org.comfreyslip.clients.hosts.HostState;
 import org.comfreyslip.standins.Standin;
 import org.comfreyslip.standins.StandinArguments;
 import org.comfreyslip.standins.StandinReply;
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/log/LogStandin.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/log/LogStandin.java
@@ -9,11 +9,11 @@
 import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.cli.Options;
+import org.comfreyslip.clients.log.AppendReply;
+import org.comfreyslip.clients.log.AppendRequest;
+import org.comfreyslip.clients.log.LogPage;
 import org.comfreyslip.coordination.CodedException;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.log.AppendReply;
-import org.comfreyslip.platform.log.AppendRequest;
-import org.comfreyslip.platform.log.LogPage;
 import org.comfreyslip.standins.RateBucket;
 import org.comfreyslip.standins.Standin;
 import org.comfreyslip.standins.StandinArguments;
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/log/StreamLog.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/log/StreamLog.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.TreeMap;
 
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
 
 /**
  * Records of one stream. Not thread-safe.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/weights/WeightStoreStandin.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/weights/WeightStoreStandin.java
@@ -1,8 +1,8 @@
 package org.comfreyslip.standins.weights;
 
 import org.apache.commons.cli.Options;
-import org.comfreyslip.platform.weights.RateLease;
-import org.comfreyslip.platform.weights.RateLeaseRequest;
+import org.comfreyslip.clients.weights.RateLease;
+import org.comfreyslip.clients.weights.RateLeaseRequest;
 import org.comfreyslip.standins.RateBucket;
 import org.comfreyslip.standins.Standin;
 import org.comfreyslip.standins.StandinArguments;
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/PipelineDriver.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/PipelineDriver.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.routing.topology.LayerRange;
 import org.comfreyslip.routing.topology.Priority;
 
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/StandinMainTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/StandinMainTests.java
@@ -7,8 +7,8 @@
 import java.nio.file.Path;
 import java.util.List;
 
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.PlatformHttp;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.PlatformHttp;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/StandinServerTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/StandinServerTests.java
@@ -3,17 +3,17 @@
 import java.util.List;
 
 import org.awaitility.Awaitility;
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.HttpReply;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.hosts.HostEntry;
+import org.comfreyslip.clients.hosts.HostList;
+import org.comfreyslip.clients.hosts.HostListClient;
+import org.comfreyslip.clients.hosts.HostState;
+import org.comfreyslip.clients.weights.RateLease;
+import org.comfreyslip.clients.weights.WeightStoreClient;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.HttpReply;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.hosts.HostEntry;
-import org.comfreyslip.platform.hosts.HostList;
-import org.comfreyslip.platform.hosts.HostListClient;
-import org.comfreyslip.platform.hosts.HostState;
-import org.comfreyslip.platform.weights.RateLease;
-import org.comfreyslip.platform.weights.WeightStoreClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/EngineCoreTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/EngineCoreTests.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.clients.engine.BlockHash;
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.engine.BlockHash;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
 import org.comfreyslip.routing.topology.Priority;
 import org.comfreyslip.standins.Failures;
 import org.comfreyslip.standins.StandinArguments;
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/EngineFaultTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/EngineFaultTests.java
@@ -2,14 +2,14 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.comfreyslip.clients.CallFailedException;
+import org.comfreyslip.clients.HttpCall;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.engine.EngineClient;
+import org.comfreyslip.clients.engine.StepKind;
+import org.comfreyslip.clients.engine.StepReply;
+import org.comfreyslip.clients.engine.StepRequest;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.CallFailedException;
-import org.comfreyslip.platform.HttpCall;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.engine.EngineClient;
-import org.comfreyslip.platform.engine.StepKind;
-import org.comfreyslip.platform.engine.StepReply;
-import org.comfreyslip.platform.engine.StepRequest;
 import org.comfreyslip.routing.topology.LayerRange;
 import org.comfreyslip.standins.Failures;
 import org.comfreyslip.standins.FaultMode;
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/ReferenceModelTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/engine/ReferenceModelTests.java
@@ -6,7 +6,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.comfreyslip.platform.engine.StepToken;
+import org.comfreyslip.clients.engine.StepToken;
 import org.comfreyslip.routing.topology.LayerRange;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/comfreyslip-standins/src/test/java/org/comfreyslip/standins/log/LogStandinTests.java
+++ b/comfreyslip-standins/src/test/java/org/comfreyslip/standins/log/LogStandinTests.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.awaitility.Awaitility;
+import org.comfreyslip.clients.PlatformHttp;
+import org.comfreyslip.clients.log.LogClient;
+import org.comfreyslip.clients.log.LogPage;
+import org.comfreyslip.clients.log.LogRecord;
 import org.comfreyslip.coordination.ErrorCode;
-import org.comfreyslip.platform.PlatformHttp;
-import org.comfreyslip.platform.log.LogClient;
-import org.comfreyslip.platform.log.LogPage;
-import org.comfreyslip.platform.log.LogRecord;
 import org.comfreyslip.standins.Failures;
 import org.comfreyslip.standins.FaultMode;
 import org.comfreyslip.standins.FaultOrder;
