--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -0,0 +1,253 @@
+package org.comfreyslip.entry;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import org.comfreyslip.entry.config.ElapsedClock;
+import org.comfreyslip.entry.config.FeedReader;
+import org.comfreyslip.entry.config.KeyedFeed;
+import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
+import org.comfreyslip.entry.fleet.EndpointDirectory;
+import org.comfreyslip.entry.http.Listeners;
+import org.comfreyslip.entry.http.Router;
+import org.comfreyslip.entry.layers.DutyLease;
+import org.comfreyslip.entry.layers.PlacementCoordinator;
+import org.comfreyslip.entry.model.Configuration;
+import org.comfreyslip.entry.model.Endpoint;
+
+/**
+ * One daemon: follows the store, takes part in the placement duty and serves callers, all
+ * on one event loop.
+ */
+public final class EntryDaemon {
+
+	/**
+	 * Time between two looks at open requests, in ms; a fifth of the shortest pause that
+	 * matters.
+	 */
+	private static final long REQUEST_TICK_MS = 40;
+
+	/** Time between two looks at connections, registrations and the placement, in ms. */
+	private static final long HOUSEKEEPING_MS = 200;
+
+	/**
+	 * How long a read of the configuration waits, in ms; renews the keys' freshness well
+	 * within its bound.
+	 */
+	private static final long CONFIGURATION_WAIT_MS = 1_200;
+
+	/** How long a read of the registrations waits, in ms. */
+	private static final long ENDPOINTS_WAIT_MS = 1_500;
+
+	/**
+	 * Pause between reads of the registrations, in ms; a leaving endpoint must be known
+	 * within 2 s.
+	 */
+	private static final long ENDPOINTS_PACE_MS = 400;
+
+	/**
+	 * Time after the stop signal in which new connections are still served, in ms: the
+	 * balancer asks once a second.
+	 */
+	private static final long ACCEPT_AFTER_STOP_MS = 3_000;
+
+	/**
+	 * Time before the end of the grace period at which open requests are given up, in ms.
+	 */
+	private static final long GRACE_MARGIN_MS = 400;
+
+	private final EventLoop loop;
+
+	private final EntrySettings settings;
+
+	private final PlatformPorts ports;
+
+	private final ElapsedClock clock = new ElapsedClock(System::nanoTime, System::currentTimeMillis);
+
+	private final EndpointDirectory directory = new EndpointDirectory();
+
+	private final KeyedFeed configurationFeed = new KeyedFeed();
+
+	private final KeyedFeed endpointFeed = new KeyedFeed();
+
+	private final DutyLease lease = new DutyLease();
+
+	private final FeedReader configurationReader;
+
+	private final FeedReader endpointReader;
+
+	private final PlacementCoordinator placement;
+
+	private final Router router;
+
+	private Channel callerListener;
+
+	private boolean wasReady;
+
+	private long stopNanos;
+
+	private boolean stopping;
+
+	/**
+	 * Creates the daemon.
+	 * @param loop the event loop on which everything runs
+	 * @param settings the settings
+	 * @param ports the platform's adapter
+	 */
+	public EntryDaemon(EventLoop loop, EntrySettings settings, PlatformPorts ports) {
+		this.loop = loop;
+		this.settings = settings;
+		this.ports = ports;
+		this.router = new Router(loop, settings, ports.wire(), this.clock, this.directory, this.configurationFeed,
+				ports.engines(), new SplittableRandom());
+		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), ports.engines(), this.lease);
+		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
+				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
+		this.endpointReader = new FeedReader(loop, "endpoints", ports.endpoints(), this.endpointFeed, this.clock::nanos,
+				this::onEndpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PACE_MS);
+	}
+
+	/** Starts to listen and to follow the store. Runs on the event loop. */
+	public void start() {
+		ChannelFuture callers = Listeners.callers(this.loop, this.settings.callers(), this.router);
+		this.callerListener = callers.channel();
+		Listeners.readiness(this.loop, this.settings.readiness(), this::isReady);
+		this.configurationReader.start();
+		this.endpointReader.start();
+		renewDuty();
+		this.loop.scheduleAtFixedRate(guarded("requests", () -> this.router.tick(System.nanoTime())), REQUEST_TICK_MS,
+				REQUEST_TICK_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(guarded("housekeeping", this::housekeep), HOUSEKEEPING_MS, HOUSEKEEPING_MS,
+				TimeUnit.MILLISECONDS);
+		EntryLog.write(EntryEvent.STARTED, this.settings.name(), "callers", this.settings.callers(), "data_centre",
+				this.settings.dataCentre());
+	}
+
+	private static Runnable guarded(String name, Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				EntryLog.write(EntryEvent.TASK_FAILED, name, "cause", ex, "at",
+						List.of(ex.getStackTrace()).stream().limit(4).toList());
+			}
+		};
+	}
+
+	private void housekeep() {
+		long now = this.clock.nanos();
+		this.directory.expire(now);
+		this.router.tickConnections(System.nanoTime());
+		this.router.configuration()
+			.ifPresent((configuration) -> this.placement.tick(configuration.services().values(), now));
+		if (this.stopping) {
+			continueStop();
+		}
+	}
+
+	private void renewDuty() {
+		long sent = this.clock.nanos();
+		this.ports.duties().join(this.lease.generation(), DutyLease.TTL_MS, (joined) -> {
+			joined.ifPresent((answer) -> this.lease.onRenewed(answer.holdsDuty(), answer.generation(), sent));
+			if (!this.stopping) {
+				this.loop.schedule(this::renewDuty, DutyLease.RENEW_MS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private void onConfigurations(KeyedFeed.Step step) {
+		for (KeyedRecord keyed : step.records()) {
+			keyed.value().ifPresent((value) -> applyConfiguration(keyed, value));
+		}
+	}
+
+	private void applyConfiguration(KeyedRecord keyed, byte[] value) {
+		try {
+			this.ports.decoder().configuration(keyed.key(), value).ifPresent(this::configure);
+		}
+		catch (UnreadableRecordException ex) {
+			EntryLog.write(EntryEvent.RECORD_UNREADABLE, keyed.key(), "offset", keyed.offset(), "why", ex.getMessage());
+		}
+	}
+
+	private void configure(Configuration next) {
+		long current = this.router.configuration().map(Configuration::version).orElse(-1L);
+		if (next.version() <= current) {
+			return;
+		}
+		this.router.configure(next);
+		EntryLog.write(EntryEvent.CONFIGURATION, "configuration", "version", next.version(), "before", current,
+				"routes", next.routes().size(), "keys", next.accountsByKey().size());
+	}
+
+	private void onEndpoints(KeyedFeed.Step step) {
+		long now = this.clock.nanos();
+		boolean nearOutage = this.endpointFeed.hadOutage(EndpointDirectory.RETURN_NANOS, now);
+		for (KeyedRecord keyed : step.records()) {
+			if (keyed.value().isPresent()) {
+				register(keyed, keyed.value().get());
+			}
+			else {
+				EntryLog.write(EntryEvent.ENDPOINT_GONE, keyed.key(), "offset", keyed.offset(), "near_outage",
+						nearOutage);
+				this.directory.remove(keyed.key(), nearOutage, now);
+			}
+		}
+		step.onlyKeys().ifPresent((keys) -> this.directory.retainOnly(keys, nearOutage, now));
+	}
+
+	private void register(KeyedRecord keyed, byte[] value) {
+		try {
+			Endpoint endpoint = this.ports.decoder().endpoint(keyed.key(), value);
+			if (this.directory.register(endpoint)) {
+				EntryLog.write(EntryEvent.ENDPOINT_CHANGED, endpoint.id(), "address", endpoint.address(), "draining",
+						endpoint.draining(), "layers", endpoint.layers(), "offset", keyed.offset());
+			}
+		}
+		catch (UnreadableRecordException ex) {
+			EntryLog.write(EntryEvent.RECORD_UNREADABLE, keyed.key(), "offset", keyed.offset(), "why", ex.getMessage());
+		}
+	}
+
+	private boolean isReady() {
+		boolean ready = !this.stopping && this.endpointReader.isReady() && this.router.canServe();
+		if (ready != this.wasReady) {
+			this.wasReady = ready;
+			EntryLog.write((ready) ? EntryEvent.READY : EntryEvent.NOT_READY, this.settings.name(), "callers",
+					this.router.callerCount());
+		}
+		return ready;
+	}
+
+	/** Begins the shutdown: open requests are finished, then the process ends. */
+	public void stop() {
+		if (this.stopping) {
+			return;
+		}
+		this.stopping = true;
+		this.stopNanos = System.nanoTime();
+		this.router.stop();
+		this.ports.duties().leave();
+		EntryLog.write(EntryEvent.STOPPING, this.settings.name(), "callers", this.router.callerCount());
+	}
+
+	private void continueStop() {
+		long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.stopNanos);
+		if (sinceMs < ACCEPT_AFTER_STOP_MS) {
+			return;
+		}
+		this.callerListener.close();
+		this.router.closeIdleCallers();
+		boolean idle = !this.router.isBusy() && this.router.callerCount() == 0;
+		if (idle || sinceMs >= this.settings.graceMs() - GRACE_MARGIN_MS) {
+			EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
+			Runtime.getRuntime().exit(0);
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntrySettings.java
@@ -0,0 +1,26 @@
+package org.comfreyslip.entry;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/**
+ * Settings of one daemon.
+ *
+ * @param name the daemon's name
+ * @param host address of the host, an IP number
+ * @param dataCentre the data centre
+ * @param callers where callers connect
+ * @param readiness where readiness is asked
+ * @param firstPeerPort the first of the ports free for use between daemons
+ * @param store where the store listens
+ * @param keyFreshnessMs age of the configuration up to which an API key is accepted, in
+ * ms; empty if keys stay valid while the store is away
+ * @param retryRatio retries per request that all daemons together may send to a service
+ * @param retryConstant retries in a window beside the ratio
+ * @param retryWindowSeconds length of that window, in s
+ * @param graceMs time from the stop signal to the end of the process, in ms
+ */
+public record EntrySettings(String name, String host, String dataCentre, InetSocketAddress callers,
+		InetSocketAddress readiness, int firstPeerPort, InetSocketAddress store, Optional<Long> keyFreshnessMs,
+		double retryRatio, double retryConstant, double retryWindowSeconds, long graceMs) {
+}
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Replies.java
@@ -0,0 +1,39 @@
+package org.comfreyslip.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Responses that the daemon makes itself.
+ */
+final class Replies {
+
+	private Replies() {
+	}
+
+	/**
+	 * Builds a response.
+	 * @param status the status
+	 * @param message what happened and what the caller can do
+	 * @param retryAfterMs when the caller may come back, in ms; negative for none
+	 * @return the response
+	 */
+	static DefaultFullHttpResponse own(HttpResponseStatus status, String message, long retryAfterMs) {
+		byte[] body = ("{\"message\":\"" + message + "\"}").getBytes(StandardCharsets.UTF_8);
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+				Unpooled.wrappedBuffer(body));
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+		if (retryAfterMs >= 0) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMs / 1e3));
+		}
+		return response;
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -0,0 +1,219 @@
+package org.comfreyslip.entry.layers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.comfreyslip.entry.model.AcceleratorKind;
+import org.comfreyslip.entry.model.EngineSpec;
+import org.comfreyslip.entry.model.LayerRange;
+
+/**
+ * Plans which layers each host holds. The hosts of a data centre hold all layers together
+ * where their memory allows it, because the pipe between data centres carries the
+ * activations of every token. Beyond one copy, layers overlap, so that the loss of a host
+ * leaves another path; the rest of the memory is KV cache.
+ */
+public final class LayerPlanner {
+
+	/**
+	 * Copies of each layer aimed at in one group; the second half copy covers the loss of
+	 * single hosts.
+	 */
+	static final double TARGET_COPIES = 1.5;
+
+	/**
+	 * Largest share of a host's memory that weights take; the rest holds the KV cache.
+	 */
+	static final double MAX_WEIGHT_SHARE = 0.86;
+
+	/**
+	 * Copies that the memory of a group must allow, so that the group is planned alone.
+	 */
+	static final double MIN_GROUP_COPIES = 1.05;
+
+	private LayerPlanner() {
+	}
+
+	/**
+	 * Plans the layers of hosts that hold none, and moves hosts whose layers others hold
+	 * too where a layer has no holder.
+	 * @param engine the engine
+	 * @param hosts the hosts that live and stay
+	 * @return the ranges to order by host
+	 */
+	public static Map<String, LayerRange> plan(EngineSpec engine, List<Holder> hosts) {
+		Map<String, LayerRange> orders = new HashMap<>();
+		for (List<Holder> group : groups(engine, hosts)) {
+			planGroup(engine, group, orders);
+		}
+		return orders;
+	}
+
+	private static void planGroup(EngineSpec engine, List<Holder> group, Map<String, LayerRange> orders) {
+		double share = weightShare(engine, group);
+		int[] copies = new int[engine.layers()];
+		List<Holder> empty = new ArrayList<>();
+		for (Holder holder : group) {
+			if (holder.layers().isPresent()) {
+				count(copies, holder.layers().get(), 1);
+			}
+			else {
+				empty.add(holder);
+			}
+		}
+		empty.sort(Comparator.<Holder>comparingInt((holder) -> -size(engine, holder, share)).thenComparing(Holder::id));
+		for (Holder holder : empty) {
+			int size = size(engine, holder, share);
+			if (size > 0) {
+				LayerRange range = leastCovered(copies, size);
+				count(copies, range, 1);
+				orders.put(holder.id(), range);
+			}
+		}
+		moveRedundant(engine, group, copies, share, orders);
+	}
+
+	private static void moveRedundant(EngineSpec engine, List<Holder> group, int[] copies, double share,
+			Map<String, LayerRange> orders) {
+		int uncovered = uncovered(copies, new LayerRange(0, copies.length));
+		while (uncovered > 0) {
+			Optional<Holder> best = bestMove(engine, group, copies, share, orders);
+			if (best.isEmpty()) {
+				return;
+			}
+			Holder holder = best.get();
+			count(copies, holder.layers().orElseThrow(), -1);
+			LayerRange range = leastCovered(copies, size(engine, holder, share));
+			count(copies, range, 1);
+			orders.put(holder.id(), range);
+			uncovered = uncovered(copies, new LayerRange(0, copies.length));
+		}
+	}
+
+	private static Optional<Holder> bestMove(EngineSpec engine, List<Holder> group, int[] copies, double share,
+			Map<String, LayerRange> orders) {
+		Holder best = null;
+		int bestGain = 0;
+		for (Holder holder : group) {
+			if (holder.layers().isEmpty() || holder.moving() || orders.containsKey(holder.id())) {
+				continue;
+			}
+			int before = uncovered(copies, new LayerRange(0, copies.length));
+			count(copies, holder.layers().get(), -1);
+			LayerRange range = leastCovered(copies, size(engine, holder, share));
+			count(copies, range, 1);
+			int gain = before - uncovered(copies, new LayerRange(0, copies.length));
+			count(copies, range, -1);
+			count(copies, holder.layers().get(), 1);
+			if (gain > bestGain) {
+				best = holder;
+				bestGain = gain;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private static double weightShare(EngineSpec engine, List<Holder> group) {
+		double layers = 0;
+		for (Holder holder : group) {
+			layers += holder.kind().memoryMb() / engine.layerMb();
+		}
+		return (layers > 0) ? Math.min(MAX_WEIGHT_SHARE, TARGET_COPIES * engine.layers() / layers) : 0;
+	}
+
+	private static int size(EngineSpec engine, Holder holder, double share) {
+		long size = Math.round(holder.kind().memoryMb() * share / engine.layerMb());
+		return (int) Math.min(size, engine.mostLayers(holder.kind()));
+	}
+
+	// Returns the window that covers most layers without a holder, then the fewest
+	// copies.
+	private static LayerRange leastCovered(int[] copies, int size) {
+		LayerRange best = new LayerRange(0, size);
+		int bestUncovered = -1;
+		int bestCopies = Integer.MAX_VALUE;
+		for (int from = 0; from + size <= copies.length; from++) {
+			LayerRange range = new LayerRange(from, from + size);
+			int uncovered = uncovered(copies, range);
+			int sum = 0;
+			for (int layer = range.from(); layer < range.to(); layer++) {
+				sum += copies[layer];
+			}
+			if (uncovered > bestUncovered || (uncovered == bestUncovered && sum < bestCopies)) {
+				best = range;
+				bestUncovered = uncovered;
+				bestCopies = sum;
+			}
+		}
+		return best;
+	}
+
+	private static int uncovered(int[] copies, LayerRange range) {
+		int uncovered = 0;
+		for (int layer = range.from(); layer < range.to(); layer++) {
+			uncovered += (copies[layer] == 0) ? 1 : 0;
+		}
+		return uncovered;
+	}
+
+	private static void count(int[] copies, LayerRange range, int step) {
+		for (int layer = range.from(); layer < range.to(); layer++) {
+			copies[layer] += step;
+		}
+	}
+
+	// Data centres that can hold the model alone, and one group of all others.
+	static List<List<Holder>> groups(EngineSpec engine, List<Holder> hosts) {
+		Map<String, List<Holder>> byDataCentre = new TreeMap<>();
+		for (Holder holder : hosts) {
+			byDataCentre.computeIfAbsent(holder.dataCentre(), (name) -> new ArrayList<>()).add(holder);
+		}
+		List<List<Holder>> groups = new ArrayList<>();
+		List<Holder> rest = new ArrayList<>();
+		for (List<Holder> group : byDataCentre.values()) {
+			if (copies(engine, group) >= MIN_GROUP_COPIES) {
+				groups.add(group);
+			}
+			else {
+				rest.addAll(group);
+			}
+		}
+		if (rest.isEmpty()) {
+			return groups;
+		}
+		if (!groups.isEmpty() && copies(engine, rest) < MIN_GROUP_COPIES) {
+			groups.get(0).addAll(rest);
+		}
+		else {
+			groups.add(rest);
+		}
+		return groups;
+	}
+
+	private static double copies(EngineSpec engine, List<Holder> group) {
+		double layers = 0;
+		for (Holder holder : group) {
+			layers += Math.floor(holder.kind().memoryMb() * MAX_WEIGHT_SHARE / engine.layerMb());
+		}
+		return layers / engine.layers();
+	}
+
+	/**
+	 * A host that holds or may hold layers.
+	 *
+	 * @param id the endpoint's identity
+	 * @param dataCentre the data centre
+	 * @param kind the accelerator kind
+	 * @param layers the layers that it holds or loads; empty if none
+	 * @param moving whether an order to it is not settled yet
+	 */
+	public record Holder(String id, String dataCentre, AcceleratorKind kind, Optional<LayerRange> layers,
+			boolean moving) {
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits on repeated requests.
+ */
+package org.comfreyslip.entry.retry;
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/route/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Finds the route of a request.
+ */
+package org.comfreyslip.entry.route;
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/stream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Splits streamed responses into events.
+ */
+package org.comfreyslip.entry.stream;
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the entry daemon under target/entry, with an archive of its loaded classes that shortens the start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mvn -B -ntp -q -DskipTests -pl platform -am package
+rm -rf target/entry target/entry.jsa
+mkdir -p target/entry
+cp platform/target/lib/*.jar target/entry/
+cp platform/target/comfreyslip-platform-*.jar target/entry/comfreyslip-platform.jar
