Plan the layers once the registrations are complete

Cause: endpoints register over some seconds; each early round planned the ones seen so far, so that ranges piled up at the first layers and zone qc-est-c had no path of its own (its first events came after 1.9 s, p50). Ruled out: memory (no request was preempted) and a slow store (reads every 400 ms found all entries). Conclusion: the first plan waits until no endpoint was added for 1.5 s, at most 7 s.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -31,6 +31,18 @@
 	 */
 	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+	/**
+	 * Time without a new endpoint after which the first plan is made, in ns; above the
+	 * heartbeat of 1.2 s.
+	 */
+	private static final long COMPLETE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	/**
+	 * Longest wait for the first plan, in ns; leaves time to load within the 15 s before
+	 * the first request.
+	 */
+	private static final long FIRST_PLAN_NANOS = TimeUnit.SECONDS.toNanos(7);
+
 	/** Longest wait until an accepted order shows in the registration, in ns. */
 	private static final long ACCEPTED_NANOS = TimeUnit.SECONDS.toNanos(12);
 
@@ -49,6 +61,10 @@
 
 	private long heldSinceNanos = -1;
 
+	private int knownEndpoints;
+
+	private long grewNanos;
+
 	/**
 	 * Creates the coordinator.
 	 * @param directory the endpoints
@@ -114,9 +130,23 @@
 			byId.put(endpoint.id(), endpoint);
 			holders.add(new LayerPlanner.Holder(endpoint.id(), endpoint.dataCentre(), kind, layers, order != null));
 		}
+		if (isStillGrowing(holders, nowNanos)) {
+			return;
+		}
 		LayerPlanner.plan(engine, holders).forEach((id, range) -> start(byId.get(id), range, nowNanos));
 	}
 
+	// A plan for a part of the endpoints would leave the later ones without a useful
+	// range.
+	private boolean isStillGrowing(List<LayerPlanner.Holder> holders, long nowNanos) {
+		if (holders.size() > this.knownEndpoints) {
+			this.knownEndpoints = holders.size();
+			this.grewNanos = nowNanos;
+		}
+		boolean first = holders.stream().allMatch((holder) -> holder.layers().isEmpty());
+		return first && nowNanos - this.grewNanos < COMPLETE_NANOS && nowNanos - this.heldSinceNanos < FIRST_PLAN_NANOS;
+	}
+
 	private void start(Endpoint endpoint, LayerRange range, long nowNanos) {
 		Pending order = new Pending(range, endpoint.bornMs(), nowNanos + ACCEPTED_NANOS);
 		this.pending.put(endpoint.id(), order);
