Exchange loads between daemons; move layers only where another copy remains

Each daemon knew only its own streams, so all chose the fast engine with layers 0-34, whose KV cache holds 29 requests, for some 80 at once. At second 15 one crash moved ten ranges: each move opened the next gap, and failures were dated by another clock than the coordinator's, so that one failure looked permanent. Ruled out: the store (calls answered), the pipe between data centres (layers were held in each), the daemons' processor (0.06 cores). Change: datagrams with loads, failures and the dated end of the configuration; fewer copies, so that more KV cache stays; a pipe's utilisation in the path's cost; only hosts whose layers have another copy move.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.comfreyslip.entry.layers.PlacementCoordinator;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.peer.PeerExchange;
 
 /**
  * One daemon: follows the store, takes part in the placement duty and serves callers, all
@@ -84,6 +86,8 @@
 
 	private final Router router;
 
+	private final PeerExchange peers;
+
 	private Channel callerListener;
 
 	private boolean wasReady;
@@ -104,6 +108,9 @@
 		this.ports = ports;
 		this.router = new Router(loop, settings, ports.wire(), this.clock, this.directory, this.configurationFeed,
 				ports.engines(), new SplittableRandom());
+		this.peers = new PeerExchange(loop, settings.name(),
+				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
+				this.configurationFeed, this.router.loads(), this.router.faults(), this.router.budget());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), ports.engines(), this.lease);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
@@ -119,6 +126,7 @@
 		this.configurationReader.start();
 		this.endpointReader.start();
 		renewDuty();
+		this.peers.start();
 		this.loop.scheduleAtFixedRate(guarded("requests", () -> this.router.tick(System.nanoTime())), REQUEST_TICK_MS,
 				REQUEST_TICK_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(guarded("housekeeping", this::housekeep), HOUSEKEEPING_MS, HOUSEKEEPING_MS,
@@ -144,7 +152,8 @@
 		this.directory.expire(now);
 		this.router.tickConnections(System.nanoTime());
 		this.router.configuration()
-			.ifPresent((configuration) -> this.placement.tick(configuration.services().values(), now));
+			.ifPresent(
+					(configuration) -> this.placement.tick(configuration.services().values(), now, System.nanoTime()));
 		if (this.stopping) {
 			continueStop();
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/PlatformPorts.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/PlatformPorts.java
@@ -8,6 +8,7 @@
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.peer.PeerRegistry;
 
 /**
  * What the daemon needs from the adapter of a platform.
@@ -17,10 +18,11 @@
  * @param endpoints the topic that holds the endpoints' registrations
  * @param engines calls to engines
  * @param duties the group among which the placement duty is dealt
+ * @param peers where daemons find each other
  * @param decoder decodes records
  */
 public record PlatformPorts(Wire wire, KeyedLog configurations, KeyedLog endpoints, EngineControl engines,
-		DutyGroup duties, RecordDecoder decoder) {
+		DutyGroup duties, PeerRegistry peers, RecordDecoder decoder) {
 
 	/** Decodes records of the store. */
 	public interface RecordDecoder {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -1,6 +1,8 @@
 package org.comfreyslip.entry.fleet;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +21,12 @@
 	/** Longest time for which a failed endpoint is avoided, in ns. */
 	private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+	/**
+	 * Time of failures after which layers are placed elsewhere, in ns: about the time of
+	 * a load of some layers.
+	 */
+	private static final long LOST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
 	/** Weight of the newest result in the failure rate. */
 	private static final double RATE_WEIGHT = 0.15;
 
@@ -37,7 +45,34 @@
 			return;
 		}
 		long backoff = (old != null) ? Math.min(MAX_BACKOFF_NANOS, 2 * old.backoffNanos()) : FIRST_BACKOFF_NANOS;
-		this.faults.put(id, new Fault(nowNanos + backoff, backoff));
+		long since = (old != null) ? old.sinceNanos() : nowNanos;
+		this.faults.put(id, new Fault(nowNanos + backoff, backoff, true, since));
+	}
+
+	/**
+	 * Records that another daemon found an endpoint unreachable.
+	 * @param id the endpoint
+	 * @param nowNanos the current time in ns
+	 */
+	public void onReported(String id, long nowNanos) {
+		if (!isAvoided(id, nowNanos)) {
+			this.faults.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, nowNanos));
+		}
+	}
+
+	/**
+	 * Returns the endpoints that this daemon itself found unreachable just now.
+	 * @param nowNanos the current time in ns
+	 * @return the identities
+	 */
+	public List<String> ownUnreachable(long nowNanos) {
+		List<String> ids = new ArrayList<>();
+		this.faults.forEach((id, fault) -> {
+			if (fault.own() && nowNanos - fault.untilNanos() < 0) {
+				ids.add(id);
+			}
+		});
+		return ids;
 	}
 
 	/**
@@ -63,6 +98,17 @@
 		return fault != null && nowNanos - fault.untilNanos() < 0;
 	}
 
+	/**
+	 * Tells whether an endpoint has failed for so long that its work should move.
+	 * @param id the endpoint
+	 * @param nowNanos the current time in ns
+	 * @return whether it is avoided now and no response came for {@link #LOST_NANOS}
+	 */
+	public boolean isLost(String id, long nowNanos) {
+		Fault fault = this.faults.get(id);
+		return fault != null && nowNanos - fault.untilNanos() < 0 && nowNanos - fault.sinceNanos() >= LOST_NANOS;
+	}
+
 	/**
 	 * Returns the recent share of failed requests.
 	 * @param id the endpoint
@@ -81,7 +127,7 @@
 		this.failureRate.remove(id);
 	}
 
-	private record Fault(long untilNanos, long backoffNanos) {
+	private record Fault(long untilNanos, long backoffNanos, boolean own, long sinceNanos) {
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
@@ -4,8 +4,9 @@
 import java.util.Map;
 
 /**
- * KV cache memory and streams that are taken at each endpoint, by the streams of this
- * daemon and by those that other daemons told it about.
+ * KV cache memory and streams that are taken at each endpoint and on the pipes between
+ * data centres, by the streams of this daemon and by those that other daemons told it
+ * about.
  */
 public final class LayerLoads {
 
@@ -35,13 +36,37 @@
 		for (LayerPath.Part part : path.parts()) {
 			boolean first = part == path.parts().get(0);
 			Load change = new Load((long) tokens * part.layers().size(), streams, (first) ? streams : 0);
-			this.own.merge(part.endpoint().id(), change, Load::plus);
-			if (this.own.get(part.endpoint().id()).streams() <= 0) {
-				this.own.remove(part.endpoint().id());
+			addOwn(part.endpoint().id(), change);
+		}
+		for (int index = 1; index < path.parts().size(); index++) {
+			String from = path.parts().get(index - 1).endpoint().dataCentre();
+			String to = path.parts().get(index).endpoint().dataCentre();
+			if (!from.equals(to)) {
+				addOwn(pipe(from, to), new Load(tokens, streams, 0));
 			}
 		}
 	}
 
+	private void addOwn(String id, Load change) {
+		Load sum = this.own.getOrDefault(id, Load.NONE).plus(change);
+		if (sum.streams() <= 0) {
+			this.own.remove(id);
+		}
+		else {
+			this.own.put(id, sum);
+		}
+	}
+
+	/**
+	 * Names the pipe between two data centres.
+	 * @param one a data centre
+	 * @param other another data centre
+	 * @return the name under which its load is kept
+	 */
+	static String pipe(String one, String other) {
+		return (one.compareTo(other) < 0) ? "pipe:" + one + "|" + other : "pipe:" + other + "|" + one;
+	}
+
 	/**
 	 * Replaces what other daemons hold.
 	 * @param loads the sum of the other daemons' loads by endpoint
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -21,15 +21,15 @@
 public final class LayerPlanner {
 
 	/**
-	 * Copies of each layer aimed at in one group; the second half copy covers the loss of
-	 * single hosts.
+	 * Copies of each layer aimed at in one group. More copies leave too little KV cache
+	 * for the usual streams.
 	 */
-	static final double TARGET_COPIES = 1.5;
+	static final double TARGET_COPIES = 1.25;
 
 	/**
 	 * Largest share of a host's memory that weights take; the rest holds the KV cache.
 	 */
-	static final double MAX_WEIGHT_SHARE = 0.86;
+	static final double MAX_WEIGHT_SHARE = 0.8;
 
 	/**
 	 * Copies that the memory of a group must allow, so that the group is planned alone.
@@ -78,20 +78,20 @@
 		moveRedundant(engine, group, copies, share, orders);
 	}
 
+	// Moves holders whose layers are all held by others too. A move that opens another
+	// gap would start a chain of moves.
 	private static void moveRedundant(EngineSpec engine, List<Holder> group, int[] copies, double share,
 			Map<String, LayerRange> orders) {
-		int uncovered = uncovered(copies, new LayerRange(0, copies.length));
-		while (uncovered > 0) {
+		LayerRange all = new LayerRange(0, copies.length);
+		while (uncovered(copies, all) > 0) {
 			Optional<Holder> best = bestMove(engine, group, copies, share, orders);
 			if (best.isEmpty()) {
 				return;
 			}
-			Holder holder = best.get();
-			count(copies, holder.layers().orElseThrow(), -1);
-			LayerRange range = leastCovered(copies, size(engine, holder, share));
+			count(copies, best.get().layers().orElseThrow(), -1);
+			LayerRange range = leastCovered(copies, size(engine, best.get(), share));
 			count(copies, range, 1);
-			orders.put(holder.id(), range);
-			uncovered = uncovered(copies, new LayerRange(0, copies.length));
+			orders.put(best.get().id(), range);
 		}
 	}
 
@@ -100,16 +100,12 @@
 		Holder best = null;
 		int bestGain = 0;
 		for (Holder holder : group) {
-			if (holder.layers().isEmpty() || holder.moving() || orders.containsKey(holder.id())) {
+			boolean fixed = holder.layers().isEmpty() || holder.moving() || orders.containsKey(holder.id());
+			if (fixed || !isRedundant(copies, holder.layers().get())) {
 				continue;
 			}
-			int before = uncovered(copies, new LayerRange(0, copies.length));
-			count(copies, holder.layers().get(), -1);
-			LayerRange range = leastCovered(copies, size(engine, holder, share));
-			count(copies, range, 1);
-			int gain = before - uncovered(copies, new LayerRange(0, copies.length));
-			count(copies, range, -1);
-			count(copies, holder.layers().get(), 1);
+			LayerRange target = leastCovered(copies, size(engine, holder, share));
+			int gain = uncovered(copies, target);
 			if (gain > bestGain) {
 				best = holder;
 				bestGain = gain;
@@ -118,6 +114,15 @@
 		return Optional.ofNullable(best);
 	}
 
+	private static boolean isRedundant(int[] copies, LayerRange range) {
+		for (int layer = range.from(); layer < range.to(); layer++) {
+			if (copies[layer] < 2) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private static double weightShare(EngineSpec engine, List<Holder> group) {
 		double layers = 0;
 		for (Holder holder : group) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -22,6 +24,9 @@
  */
 public final class PathFinder {
 
+	/** Cost of a pipe that is full, in ms; taken only where no other path exists. */
+	private static final double PIPE_FULL_MS = 60;
+
 	/** Largest number of parts that the platform accepts. */
 	private static final int MAX_PARTS = 32;
 
@@ -32,10 +37,25 @@
 	private static final double HOP_MS = 0.25;
 
 	/**
-	 * Cost of handing on to another data centre, in ms: the delay and a share of a pipe
-	 * that all streams use.
+	 * Delay of handing on to another data centre beside the pipe, in ms: as stated for
+	 * both deployments.
+	 */
+	private static final double REMOTE_HOP_MS = 0.9;
+
+	/**
+	 * Cost of a first part in another data centre, in ms: the bytes between daemon and
+	 * endpoint are priced.
 	 */
-	private static final double REMOTE_HOP_MS = 6;
+	private static final double REMOTE_FIRST_MS = 1;
+
+	/**
+	 * Usual time of a stream, in ms, over which its tokens spread on a pipe: measured on
+	 * calm days.
+	 */
+	private static final double STREAM_MS = 2_500;
+
+	/** Share of a pipe that streams may use; beyond it transfers queue without bound. */
+	private static final double PIPE_SHARE = 0.85;
 
 	/**
 	 * Share of the KV cache memory that reservations may take; the rest covers wrong
@@ -101,6 +121,8 @@
 
 		private final int[] roomLayers;
 
+		private final Map<String, Double> pipeMs = new HashMap<>();
+
 		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst) {
 			this.candidates = candidates;
 			this.dataCentre = dataCentre;
@@ -188,7 +210,7 @@
 				if (!slots || !this.allowedFirst.test(endpoint)) {
 					return null;
 				}
-				double entry = (endpoint.dataCentre().equals(this.dataCentre)) ? 0 : REMOTE_HOP_MS;
+				double entry = (endpoint.dataCentre().equals(this.dataCentre)) ? 0 : REMOTE_FIRST_MS;
 				return new Arrival(entry, -1, -1, 1);
 			}
 			Arrival cheapest = null;
@@ -197,8 +219,7 @@
 				if (before == null || previous == index) {
 					continue;
 				}
-				boolean near = this.candidates.get(previous).dataCentre().equals(endpoint.dataCentre());
-				double cost = before.cost() + ((near) ? HOP_MS : REMOTE_HOP_MS);
+				double cost = before.cost() + hopMs(this.candidates.get(previous).dataCentre(), endpoint.dataCentre());
 				if (cheapest == null || cost < cheapest.cost()) {
 					cheapest = new Arrival(cost, boundary, previous, before.parts() + 1);
 				}
@@ -206,6 +227,23 @@
 			return cheapest;
 		}
 
+		private double hopMs(String from, String to) {
+			if (from.equals(to)) {
+				return HOP_MS;
+			}
+			return this.pipeMs.computeIfAbsent(LayerLoads.pipe(from, to), this::pipeMs);
+		}
+
+		private double pipeMs(String pipe) {
+			EngineSpec spec = PathFinder.this.engine;
+			double used = PathFinder.this.loads.of(pipe).tokenLayers() * spec.pipeMsPerToken() / STREAM_MS;
+			if (used >= PIPE_SHARE) {
+				return PIPE_FULL_MS;
+			}
+			double tokens = 1 + spec.usualPromptTokens() / (double) Math.max(1, spec.usualAnswerTokens());
+			return HOP_MS + REMOTE_HOP_MS + tokens * spec.pipeMsPerToken() / (1 - used);
+		}
+
 		private Optional<LayerPath> trace() {
 			int boundary = this.boundaries.length - 1;
 			int index = -1;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -83,9 +83,10 @@
 	/**
 	 * Plans and gives orders.
 	 * @param services the services of the configuration in force
-	 * @param nowNanos the current elapsed time in ns
+	 * @param nowNanos the current elapsed time in ns, by which the lease runs
+	 * @param steadyNanos the current steady time in ns, by which failures are dated
 	 */
-	public void tick(Iterable<ServiceSpec> services, long nowNanos) {
+	public void tick(Iterable<ServiceSpec> services, long nowNanos, long steadyNanos) {
 		if (!this.lease.isHeld(nowNanos)) {
 			if (this.heldSinceNanos >= 0) {
 				EntryLog.write(EntryEvent.DUTY, "placement", "held", false, "generation", this.lease.generation());
@@ -103,7 +104,7 @@
 			return;
 		}
 		for (ServiceSpec service : services) {
-			service.engine().ifPresent((engine) -> order(service.name(), engine, nowNanos));
+			service.engine().ifPresent((engine) -> order(service.name(), engine, nowNanos, steadyNanos));
 		}
 	}
 
@@ -117,12 +118,12 @@
 		});
 	}
 
-	private void order(String service, EngineSpec engine, long nowNanos) {
+	private void order(String service, EngineSpec engine, long nowNanos, long steadyNanos) {
 		Map<String, Endpoint> byId = new HashMap<>();
 		List<LayerPlanner.Holder> holders = new ArrayList<>();
 		for (Endpoint endpoint : this.directory.usable(service)) {
 			AcceleratorKind kind = endpoint.accelerator().map(engine.kinds()::get).orElse(null);
-			if (kind == null || this.faults.isAvoided(endpoint.id(), nowNanos)) {
+			if (kind == null || this.faults.isLost(endpoint.id(), steadyNanos)) {
 				continue;
 			}
 			Pending order = this.pending.get(endpoint.id());
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/EngineSpec.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/EngineSpec.java
@@ -13,14 +13,16 @@
  * @param stepMsPerSequence further step time for each sequence of the batch, in ms
  * @param stepMsPerContextToken further step time for each token of context, in ms
  * @param readTokensPerMs prompt tokens that are read in one ms through all layers
+ * @param pipeMsPerToken time that one token takes on the pipe between two data centres,
+ * in ms
  * @param loadSeconds time to load all layers, in s
  * @param usualPromptTokens mean length of a prompt, in tokens
  * @param usualAnswerTokens mean length of an answer, in tokens
  * @param kinds accelerator kinds by name
  */
 public record EngineSpec(int slots, int layers, double layerMb, double kvBytesPerTokenLayer, double stepMs,
-		double stepMsPerSequence, double stepMsPerContextToken, double readTokensPerMs, double loadSeconds,
-		int usualPromptTokens, int usualAnswerTokens, Map<String, AcceleratorKind> kinds) {
+		double stepMsPerSequence, double stepMsPerContextToken, double readTokensPerMs, double pipeMsPerToken,
+		double loadSeconds, int usualPromptTokens, int usualAnswerTokens, Map<String, AcceleratorKind> kinds) {
 
 	private static final double BYTES_PER_MB = 1e6;
 
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -0,0 +1,61 @@
+package org.comfreyslip.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.comfreyslip.entry.EntryEvent;
+import org.comfreyslip.entry.EntryLog;
+
+/**
+ * Sends and receives datagrams between daemons.
+ */
+public final class PeerSocket {
+
+	private final Channel channel;
+
+	/**
+	 * Opens the socket.
+	 * @param loop the event loop
+	 * @param address where to receive
+	 * @param receive takes each message and where it came from
+	 */
+	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> receive) {
+		this.channel = new Bootstrap().group(loop)
+			.channel(NioDatagramChannel.class)
+			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+				@Override
+				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+					byte[] bytes = new byte[packet.content().readableBytes()];
+					packet.content().readBytes(bytes);
+					PeerMessage.decode(bytes).ifPresent((message) -> receive.accept(message, packet.sender()));
+				}
+
+				@Override
+				public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+					EntryLog.write(EntryEvent.TASK_FAILED, "peer datagram", "cause", cause);
+				}
+			})
+			.bind(address)
+			.channel();
+	}
+
+	/**
+	 * Sends a message; it may be lost.
+	 * @param message the message
+	 * @param to the address
+	 */
+	public void send(PeerMessage message, InetSocketAddress to) {
+		if (this.channel.isActive()) {
+			this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message.encode()), to));
+		}
+	}
+
+}
