--- /dev/null
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/Samples.java
@@ -0,0 +1,93 @@
+package org.comfreyslip.entry;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.comfreyslip.entry.model.AcceleratorKind;
+import org.comfreyslip.entry.model.Configuration;
+import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.model.EngineSpec;
+import org.comfreyslip.entry.model.LayerRange;
+import org.comfreyslip.entry.model.RequestLimits;
+import org.comfreyslip.entry.model.Route;
+import org.comfreyslip.entry.model.RouteKind;
+
+/**
+ * Values for tests: an engine of 80 layers over four kinds of accelerators, as in the
+ * first deployments.
+ */
+public final class Samples {
+
+	/** The fast kind. */
+	public static final AcceleratorKind FAST = new AcceleratorKind("fast", 72_000, 1.4, 1);
+
+	/** The next kind. */
+	public static final AcceleratorKind MIDDLE = new AcceleratorKind("middle", 36_000, 3.1, 3.2);
+
+	/** A slow kind. */
+	public static final AcceleratorKind SLOW = new AcceleratorKind("slow", 21_600, 16, 8.2);
+
+	/** The smallest kind. */
+	public static final AcceleratorKind SMALL = new AcceleratorKind("small", 14_400, 15, 15);
+
+	private Samples() {
+	}
+
+	/**
+	 * Returns the engine.
+	 * @return the engine
+	 */
+	public static EngineSpec engine() {
+		return new EngineSpec(134, 80, 1_750, 10_567, 0.85, 0.0055, 7.3e-6, 196, 0.026, 14, 772, 167,
+				Map.of("fast", FAST, "middle", MIDDLE, "slow", SLOW, "small", SMALL));
+	}
+
+	/**
+	 * Returns a registered engine endpoint.
+	 * @param id the identity
+	 * @param dataCentre the data centre
+	 * @param kind the accelerator kind
+	 * @param layers the layers, {@code null} for none
+	 * @return the endpoint
+	 */
+	public static Endpoint endpoint(String id, String dataCentre, AcceleratorKind kind, LayerRange layers) {
+		return new Endpoint(id, 1, 1, "model",
+				new InetSocketAddress("10.0.0.1", 1_000 + Math.abs(id.hashCode() % 60_000)), dataCentre, false,
+				Optional.of(kind.name()), Optional.ofNullable(layers));
+	}
+
+	/**
+	 * Returns a registered endpoint of a plain service.
+	 * @param id the identity
+	 * @param heartbeat number of the registration
+	 * @param draining whether it is leaving
+	 * @return the endpoint
+	 */
+	public static Endpoint plain(String id, long heartbeat, boolean draining) {
+		return new Endpoint(id, 1, heartbeat, "archive", new InetSocketAddress("10.0.0.1", 8_080), "a", draining,
+				Optional.empty(), Optional.empty());
+	}
+
+	/**
+	 * Returns a route.
+	 * @param name the name
+	 * @param prefix the path prefix
+	 * @return the route
+	 */
+	public static Route route(String name, String prefix) {
+		return new Route(name, "api.example", prefix, RouteKind.IDEMPOTENT,
+				List.of(new Route.WeightedService("archive", 1)), 2, 1_000, 100, 0, 1, false, false);
+	}
+
+	/**
+	 * Returns a configuration.
+	 * @param routes the routes
+	 * @return the configuration
+	 */
+	public static Configuration configuration(Route... routes) {
+		return new Configuration(1, List.of(routes), Map.of(), Map.of(), false, RequestLimits.INITIAL);
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -0,0 +1,74 @@
+package org.comfreyslip.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreyslip.entry.layers.LayerLoads.Load;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PeerTable} and {@link PeerMessage}. They guard against keys that stay
+ * accepted because of a datagram that was delayed, and against loads of dead daemons.
+ */
+class PeerTableTests {
+
+	private static final InetSocketAddress ADDRESS = new InetSocketAddress("10.0.0.2", 7_340);
+
+	private final PeerTable table = new PeerTable();
+
+	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
+		return new PeerMessage(sender, 77, echoNanos, 12, ageNanos, loads, List.of("e1"));
+	}
+
+	@Test
+	void aMessageSurvivesItsEncoding() {
+		PeerMessage message = message("b", 5, 6, Map.of("e", new Load(9_000, 3, 1)));
+		assertThat(PeerMessage.decode(message.encode())).contains(message);
+	}
+
+	@Test
+	void bytesThatAreNoMessageAreIgnored() {
+		assertThat(PeerMessage.decode(new byte[0])).isEmpty();
+		assertThat(PeerMessage.decode(new byte[] { 9, 1, 2 })).isEmpty();
+		byte[] cut = message("b", 5, 6, Map.of()).encode();
+		assertThat(PeerMessage.decode(Arrays.copyOf(cut, cut.length - 3))).isEmpty();
+	}
+
+	@Test
+	void aConfirmationIsDatedByThisDaemonsOwnClock() {
+		long asked = TimeUnit.SECONDS.toNanos(10);
+		long age = TimeUnit.SECONDS.toNanos(1);
+		long muchLater = TimeUnit.SECONDS.toNanos(60);
+		assertThat(this.table.onMessage(message("b", asked, age, Map.of()), ADDRESS, muchLater))
+			.contains(new PeerTable.Confirmation(12, asked - age));
+	}
+
+	@Test
+	void aMessageThatEchoesNothingConfirmsNothing() {
+		assertThat(this.table.onMessage(message("b", 0, 6, Map.of()), ADDRESS, 100)).isEmpty();
+		assertThat(this.table.onMessage(message("b", 5, -1, Map.of()), ADDRESS, 100)).isEmpty();
+		assertThat(this.table.onMessage(message("b", 500, 6, Map.of()), ADDRESS, 100)).isEmpty();
+	}
+
+	@Test
+	void theLoadsOfAPeerThatFellSilentNoLongerCount() {
+		this.table.onMessage(message("b", 0, 0, Map.of("e", new Load(10, 1, 0))), ADDRESS, 0);
+		this.table.onMessage(message("c", 0, 0, Map.of("e", new Load(5, 1, 1))), ADDRESS, 0);
+		assertThat(this.table.loads(1)).containsEntry("e", new Load(15, 2, 1));
+		assertThat(this.table.loads(TimeUnit.SECONDS.toNanos(2))).isEmpty();
+	}
+
+	@Test
+	void aPeerThatFellSilentSharesTheRetryBudgetForAWhile() {
+		this.table.onMessage(message("b", 0, 0, Map.of()), ADDRESS, 0);
+		this.table.learn("never-heard", ADDRESS);
+		assertThat(this.table.sharing(TimeUnit.SECONDS.toNanos(5))).isEqualTo(2);
+		assertThat(this.table.sharing(TimeUnit.SECONDS.toNanos(30))).isEqualTo(1);
+	}
+
+}
