--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -57,10 +57,14 @@
 	private static void planGroup(EngineSpec engine, List<Holder> group, Map<String, LayerRange> orders) {
 		double share = weightShare(engine, group);
 		int[] copies = new int[engine.layers()];
+		int[] loaded = new int[engine.layers()];
 		List<Holder> empty = new ArrayList<>();
 		for (Holder holder : group) {
 			if (holder.layers().isPresent()) {
 				count(copies, holder.layers().get(), 1);
+				if (!holder.moving()) {
+					count(loaded, holder.layers().get(), 1);
+				}
 			}
 			else {
 				empty.add(holder);
@@ -75,37 +79,37 @@
 				orders.put(holder.id(), range);
 			}
 		}
-		moveRedundant(engine, group, copies, share, orders);
+		moveRedundant(engine, group, new Coverage(copies, loaded), share, orders);
 	}
 
 	// Moves holders whose layers are all held by others too. A move that opens another
 	// gap would start a chain of moves.
-	private static void moveRedundant(EngineSpec engine, List<Holder> group, int[] copies, double share,
+	private static void moveRedundant(EngineSpec engine, List<Holder> group, Coverage coverage, double share,
 			Map<String, LayerRange> orders) {
-		LayerRange all = new LayerRange(0, copies.length);
-		while (uncovered(copies, all) > 0) {
-			Optional<Holder> best = bestMove(engine, group, copies, share, orders);
+		LayerRange all = new LayerRange(0, engine.layers());
+		while (uncovered(coverage.copies(), all) > 0) {
+			Optional<Holder> best = bestMove(engine, group, coverage, share, orders);
 			if (best.isEmpty()) {
 				return;
 			}
-			count(copies, best.get().layers().orElseThrow(), -1);
-			LayerRange range = leastCovered(copies, size(engine, best.get(), share));
-			count(copies, range, 1);
+			count(coverage.copies(), best.get().layers().orElseThrow(), -1);
+			count(coverage.loaded(), best.get().layers().orElseThrow(), -1);
+			LayerRange range = leastCovered(coverage.copies(), size(engine, best.get(), share));
+			count(coverage.copies(), range, 1);
 			orders.put(best.get().id(), range);
 		}
 	}
 
-	private static Optional<Holder> bestMove(EngineSpec engine, List<Holder> group, int[] copies, double share,
+	private static Optional<Holder> bestMove(EngineSpec engine, List<Holder> group, Coverage coverage, double share,
 			Map<String, LayerRange> orders) {
 		Holder best = null;
 		int bestGain = 0;
 		for (Holder holder : group) {
 			boolean fixed = holder.layers().isEmpty() || holder.moving() || orders.containsKey(holder.id());
-			if (fixed || !isRedundant(copies, holder.layers().get())) {
+			if (fixed || !isRedundant(coverage.loaded(), holder.layers().get())) {
 				continue;
 			}
-			LayerRange target = leastCovered(copies, size(engine, holder, share));
-			int gain = uncovered(copies, target);
+			int gain = uncovered(coverage.copies(), leastCovered(coverage.copies(), size(engine, holder, share)));
 			if (gain > bestGain) {
 				best = holder;
 				bestGain = gain;
@@ -208,6 +212,15 @@
 		return layers / engine.layers();
 	}
 
+	/**
+	 * Copies of each layer in a group.
+	 *
+	 * @param copies copies that are loaded or being loaded
+	 * @param loaded copies that are loaded
+	 */
+	private record Coverage(int[] copies, int[] loaded) {
+	}
+
 	/**
 	 * A host that holds or may hold layers.
 	 *
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -105,6 +105,17 @@
 		}
 	}
 
+	@Test
+	void aCopyThatIsStillBeingLoadedDoesNotFreeAnotherHolder() {
+		List<LayerPlanner.Holder> hosts = new ArrayList<>();
+		hosts.add(new LayerPlanner.Holder("loading", "a", Samples.FAST, Optional.of(new LayerRange(0, 33)), true));
+		hosts.add(holder("holding", "a", Samples.FAST, new LayerRange(0, 33)));
+		hosts.add(holder("rest", "a", Samples.FAST, new LayerRange(33, 66)));
+		assertThat(LayerPlanner.plan(this.engine, hosts)).doesNotContainKey("holding");
+		hosts.set(0, holder("loading", "a", Samples.FAST, new LayerRange(0, 33)));
+		assertThat(LayerPlanner.plan(this.engine, hosts)).hasSize(1);
+	}
+
 	@Test
 	void aHostThatComesBackEmptyTakesWhatIsHeldLeast() {
 		List<LayerPlanner.Holder> placed = new ArrayList<>(placed(fleet(), LayerPlanner.plan(this.engine, fleet())));
