Watch endpoints of paths by idle connections

Ruled out: faster inquiries (the report itself is 200 ms old) and probes (priced, and they wait for a slot). Change: a daemon keeps an idle connection to each engine its streams run through; a reset followed by a refused connection moves the streams at once.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -210,6 +210,7 @@
 				this.incoming.head().uri(), body, headers, EmptyHttpHeaders.INSTANCE);
 		if (this.path != null) {
 			this.router.loads().reserve(this.path, this.reservedTokens);
+			this.router.watch(this.path, now);
 		}
 		else {
 			this.router.plain().onSent(target.id());
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -105,6 +105,8 @@
 
 	private final LayerLoads loads = new LayerLoads();
 
+	private final EndpointWatch watch;
+
 	private final PlainSelector plain;
 
 	private final RetryBudget budget;
@@ -153,6 +155,7 @@
 		this.engines = engines;
 		this.random = random;
 		this.pool = new EndpointPool(loop, wire);
+		this.watch = new EndpointWatch(loop, this::onEndpointDown);
 		this.plain = new PlainSelector(this.faults, random);
 		this.budget = new RetryBudget(settings.retryRatio(), settings.retryConstant(), settings.retryWindowSeconds(),
 				ASSUMED_DAEMONS);
@@ -373,6 +376,21 @@
 		return holders;
 	}
 
+	// The process of an endpoint ended; all streams that run through it go on elsewhere.
+	private void onEndpointDown(Endpoint endpoint, long nowNanos) {
+		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
+		this.faults.onUnreachable(endpoint.id(), nowNanos);
+		for (Exchange exchange : new ArrayList<>(this.open)) {
+			if (exchange.path().filter((path) -> path.uses(endpoint.id())).isPresent()) {
+				exchange.abandonSend(BreakCause.CLOSED);
+			}
+		}
+	}
+
+	void watch(LayerPath path, long nowNanos) {
+		path.parts().forEach((part) -> this.watch.use(part.endpoint(), nowNanos));
+	}
+
 	long capacityRetryMs() {
 		return CAPACITY_RETRY_MS + (long) (this.random.nextDouble() * CAPACITY_RETRY_MS);
 	}
@@ -482,6 +500,7 @@
 			caller.tick(nowNanos);
 		}
 		this.pool.closeStale(nowNanos);
+		this.watch.tick(nowNanos);
 	}
 
 	/** What an inquiry about a stream found. */
