Ask slow engines for their pace; count a run as replaced only if its endpoint ended

Now a run no longer counts only if the endpoint refuses connections or its registration is gone. Ruled out: the shared retry budget (its arrivals were within bounds). Engines on the path of a slow stream are asked for their pace, which daemons share and paths avoid.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -110,7 +110,8 @@
 				ports.engines(), new SplittableRandom());
 		this.peers = new PeerExchange(loop, settings.name(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
-				this.configurationFeed, this.router.loads(), this.router.faults(), this.router.budget());
+				this.configurationFeed, this.router.loads(), this.router.paces(), this.router.faults(),
+				this.router.budget());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), ports.engines(), this.lease);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -52,6 +52,9 @@
 	/** An endpoint was named as the cause of a failure. */
 	ENDPOINT_BLAMED(6203, Level.WARNING),
 
+	/** An engine is slower than usual. */
+	ENGINE_SLOW(6204, Level.INFO),
+
 	/** A request has its final answer. */
 	REQUEST_CLOSED(6301, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -32,6 +34,8 @@
 
 	private final Map<String, Fault> faults = new HashMap<>();
 
+	private final Set<String> down = new HashSet<>();
+
 	private final Map<String, Double> failureRate = new HashMap<>();
 
 	/**
@@ -49,6 +53,25 @@
 		this.faults.put(id, new Fault(nowNanos + backoff, backoff, true, since));
 	}
 
+	/**
+	 * Records that an endpoint refuses connections, so that its process has ended.
+	 * @param id the endpoint
+	 * @param nowNanos the current time in ns
+	 */
+	public void onDown(String id, long nowNanos) {
+		onUnreachable(id, nowNanos);
+		this.down.add(id);
+	}
+
+	/**
+	 * Tells whether an endpoint refused connections and has not answered since.
+	 * @param id the endpoint
+	 * @return whether its process has ended
+	 */
+	public boolean isDown(String id) {
+		return this.down.contains(id);
+	}
+
 	/**
 	 * Records that another daemon found an endpoint unreachable.
 	 * @param id the endpoint
@@ -83,6 +106,7 @@
 	public void onResponse(String id, boolean failed) {
 		if (!failed) {
 			this.faults.remove(id);
+			this.down.remove(id);
 		}
 		this.failureRate.merge(id, (failed) ? RATE_WEIGHT : 0.0, (old, fresh) -> old * (1 - RATE_WEIGHT) + fresh);
 	}
@@ -125,6 +149,7 @@
 	public void forget(String id) {
 		this.faults.remove(id);
 		this.failureRate.remove(id);
+		this.down.remove(id);
 	}
 
 	private record Fault(long untilNanos, long backoffNanos, boolean own, long sinceNanos) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -39,17 +39,15 @@
 	 */
 	private static final int MAX_REPLY_BYTES = 8 << 20;
 
-	/**
-	 * Runs beyond the route's limit that replace runs at endpoints that failed meanwhile.
-	 */
-	private static final int REPLACED_RUNS = 1;
-
 	/**
 	 * Least time left for which a send makes sense, in ms: one round trip and a short
 	 * wait.
 	 */
 	private static final long MIN_LEFT_MS = 20;
 
+	/** Weight of the newest pause in the mean pause between events. */
+	private static final double GAP_WEIGHT = 0.25;
+
 	private final Router router;
 
 	private final CallerConnection caller;
@@ -76,7 +74,7 @@
 
 	private int sends;
 
-	private int runs;
+	private final Set<String> ran = new HashSet<>();
 
 	private boolean sent;
 
@@ -90,6 +88,10 @@
 
 	private boolean inquiring;
 
+	private long inquiryGapMs = Router.INQUIRY_GAP_MS;
+
+	private double eventGapMs;
+
 	private HttpResponse replyHead;
 
 	private Wire.ReplyFacts replyFacts;
@@ -261,9 +263,21 @@
 		content.readBytes(bytes);
 		byte[] events = this.framer.add(bytes);
 		if (events.length > 0) {
+			onEvents(System.nanoTime());
 			relayHead();
 			this.caller.streamContent(events);
-			this.progressNanos = System.nanoTime();
+		}
+	}
+
+	private void onEvents(long now) {
+		double gapMs = (now - this.progressNanos) / 1e6;
+		this.progressNanos = now;
+		this.inquiryGapMs = Router.INQUIRY_GAP_MS;
+		if (this.headSent) {
+			this.eventGapMs += GAP_WEIGHT * (gapMs - this.eventGapMs);
+			if (this.eventGapMs > this.router.slowGapMs(this.admitted.route())) {
+				this.router.onSlowStream(this.path, now);
+			}
 		}
 	}
 
@@ -353,9 +367,8 @@
 		}
 		boolean failed = status >= 500;
 		this.router.faults().onResponse(this.endpoint.id(), failed);
-		if (failed && this.admitted.route().mayRunAgain() && !this.headSent && mayRunOnceMore(false)) {
+		if (failed && this.admitted.route().mayRunAgain() && !this.headSent && mayRunOnceMore()) {
 			this.mayHaveRun = true;
-			this.runs++;
 			next(now, (now - this.sentNanos) / 1e6, "status " + status);
 			return;
 		}
@@ -390,9 +403,11 @@
 				this.router.capacityRetryMs());
 	}
 
-	private boolean mayRunOnceMore(boolean endpointFailed) {
-		int allowed = this.admitted.route().maxAttempts() + ((endpointFailed) ? REPLACED_RUNS : 0);
-		return this.runs + 1 < allowed && this.sends < MAX_SENDS
+	// Endpoints that ended since do not count against the route's limit.
+	private boolean mayRunOnceMore() {
+		this.ran.add(this.endpoint.id());
+		long counted = this.ran.stream().filter((id) -> !this.router.hasEnded(id)).count();
+		return counted < this.admitted.route().maxAttempts() && this.sends < MAX_SENDS
 				&& this.router.tryRetry(this.admitted.service(), System.nanoTime());
 	}
 
@@ -427,8 +442,7 @@
 		}
 		this.mayHaveRun = true;
 		this.framer.dropPartial();
-		if (this.admitted.route().mayRunAgain() && mayRunOnceMore(cause != BreakCause.GARBLED)) {
-			this.runs++;
+		if (this.admitted.route().mayRunAgain() && mayRunOnceMore()) {
 			next(now, -1, cause.name());
 			return;
 		}
@@ -524,7 +538,7 @@
 			watchStream(nowNanos, quietMs, route);
 		}
 		else if (route.mayRunAgain() && this.sent && this.replyHead == null
-				&& quietMs >= this.router.plainPatienceMs(route) && this.runs + 1 < route.maxAttempts()) {
+				&& quietMs >= this.router.plainPatienceMs(route) && this.ran.size() + 1 < route.maxAttempts()) {
 			abandonSend(BreakCause.SILENT);
 		}
 	}
@@ -532,11 +546,14 @@
 	private void watchStream(long nowNanos, long quietMs, Route route) {
 		long patience = (this.headSent) ? this.router.gapPatienceMs(route) : this.router.firstPatienceMs(route);
 		boolean askedJustNow = this.inquiring
-				|| TimeUnit.NANOSECONDS.toMillis(nowNanos - this.inquiredNanos) < Router.INQUIRY_GAP_MS;
+				|| TimeUnit.NANOSECONDS.toMillis(nowNanos - this.inquiredNanos) < this.inquiryGapMs;
 		if (!this.sent || quietMs < patience || askedJustNow || !this.caller.isWritable()) {
 			return;
 		}
 		this.inquiring = true;
+		if (this.inquiredNanos - this.progressNanos > 0) {
+			this.inquiryGapMs = 2 * this.inquiryGapMs;
+		}
 		this.inquiredNanos = nowNanos;
 		EndpointConnection asked = this.connection;
 		this.router.inquire(this, this.endpoint, (verdict) -> {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -24,6 +24,7 @@
 import org.comfreyslip.entry.fleet.EndpointFaults;
 import org.comfreyslip.entry.fleet.PlainSelector;
 import org.comfreyslip.entry.layers.EngineControl;
+import org.comfreyslip.entry.layers.EnginePaces;
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.layers.PathFinder;
@@ -105,6 +106,8 @@
 
 	private final LayerLoads loads = new LayerLoads();
 
+	private final EnginePaces paces = new EnginePaces();
+
 	private final EndpointWatch watch;
 
 	private final PlainSelector plain;
@@ -195,6 +198,14 @@
 		return this.loads;
 	}
 
+	/**
+	 * Returns the slow engines.
+	 * @return the slow engines
+	 */
+	public EnginePaces paces() {
+		return this.paces;
+	}
+
 	/**
 	 * Returns the retry budget.
 	 * @return the budget
@@ -264,8 +275,9 @@
 		}
 		for (ServiceSpec service : this.configuration.services().values()) {
 			if (service.engine().isPresent()) {
-				boolean path = new PathFinder(service.engine().get(), new LayerLoads())
-					.find(holders(service.name(), System.nanoTime()), this.settings.dataCentre(), 1, (first) -> true)
+				boolean path = new PathFinder(service.engine().get(), new LayerLoads(), this.paces)
+					.find(holders(service.name(), System.nanoTime()), this.settings.dataCentre(), 1, (first) -> true,
+							System.nanoTime())
 					.isPresent();
 				if (!path) {
 					return false;
@@ -361,9 +373,9 @@
 	}
 
 	Optional<LayerPath> findPath(Admitted admitted, int tokens, Collection<String> triedFirst, long nowNanos) {
-		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads);
+		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.paces);
 		return finder.find(holders(admitted.service(), nowNanos), this.settings.dataCentre(), tokens,
-				(first) -> !triedFirst.contains(first.id()));
+				(first) -> !triedFirst.contains(first.id()), nowNanos);
 	}
 
 	private List<Endpoint> holders(String service, long nowNanos) {
@@ -379,7 +391,7 @@
 	// The process of an endpoint ended; all streams that run through it go on elsewhere.
 	private void onEndpointDown(Endpoint endpoint, long nowNanos) {
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
-		this.faults.onUnreachable(endpoint.id(), nowNanos);
+		this.faults.onDown(endpoint.id(), nowNanos);
 		for (Exchange exchange : new ArrayList<>(this.open)) {
 			if (exchange.path().filter((path) -> path.uses(endpoint.id())).isPresent()) {
 				exchange.abandonSend(BreakCause.CLOSED);
@@ -387,6 +399,11 @@
 		}
 	}
 
+	// Tells whether an endpoint's process ended or its registration is gone.
+	boolean hasEnded(String id) {
+		return this.faults.isDown(id) || this.directory.find(id).isEmpty();
+	}
+
 	void watch(LayerPath path, long nowNanos) {
 		path.parts().forEach((part) -> this.watch.use(part.endpoint(), nowNanos));
 	}
@@ -407,6 +424,11 @@
 		return (route.targetGapMs() > 0) ? GAP_SHARE_PERCENT * route.targetGapMs() / 100 : DEFAULT_GAP_MS;
 	}
 
+	// Mean pause between events above which a stream counts as slow, in ms.
+	long slowGapMs(Route route) {
+		return gapPatienceMs(route) / 2;
+	}
+
 	long firstPatienceMs(Route route) {
 		return Math.max(route.targetLatencyMs(), DEFAULT_GAP_MS);
 	}
@@ -447,6 +469,21 @@
 		return Optional.empty();
 	}
 
+	// Asks the engines of a slow stream how slow they are.
+	void onSlowStream(LayerPath path, long nowNanos) {
+		for (LayerPath.Part part : path.parts()) {
+			Endpoint endpoint = part.endpoint();
+			if (this.paces.startAsking(endpoint.id(), nowNanos)) {
+				this.engines.report(endpoint, (report) -> report.ifPresent((one) -> {
+					this.paces.onReport(endpoint.id(), one.pace(), System.nanoTime());
+					if (one.pace() > EnginePaces.SLOW) {
+						EntryLog.write(EntryEvent.ENGINE_SLOW, endpoint.id(), "pace", one.pace());
+					}
+				}));
+			}
+		}
+	}
+
 	// Asks the first endpoint of a stream's path whether the stream waits for another
 	// one.
 	void inquire(Exchange exchange, Endpoint first, Consumer<Verdict> done) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -73,14 +73,18 @@
 
 	private final LayerLoads loads;
 
+	private final EnginePaces paces;
+
 	/**
 	 * Creates a finder.
 	 * @param engine the engine
 	 * @param loads the loads
+	 * @param paces the slow engines
 	 */
-	public PathFinder(EngineSpec engine, LayerLoads loads) {
+	public PathFinder(EngineSpec engine, LayerLoads loads, EnginePaces paces) {
 		this.engine = engine;
 		this.loads = loads;
+		this.paces = paces;
 	}
 
 	/**
@@ -89,11 +93,12 @@
 	 * @param dataCentre the daemon's data centre, where the path starts if possible
 	 * @param tokens tokens that the stream will hold, prompt and answer
 	 * @param allowedFirst which endpoints may be the first part
+	 * @param nowNanos the current time in ns
 	 * @return the path, empty if layers have no holder with memory left
 	 */
 	public Optional<LayerPath> find(List<Endpoint> candidates, String dataCentre, int tokens,
-			Predicate<Endpoint> allowedFirst) {
-		Search search = new Search(candidates, dataCentre, tokens, allowedFirst);
+			Predicate<Endpoint> allowedFirst, long nowNanos) {
+		Search search = new Search(candidates, dataCentre, tokens, allowedFirst, nowNanos);
 		return search.run();
 	}
 
@@ -123,7 +128,8 @@
 
 		private final Map<String, Double> pipeMs = new HashMap<>();
 
-		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst) {
+		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst,
+				long nowNanos) {
 			this.candidates = candidates;
 			this.dataCentre = dataCentre;
 			this.tokens = Math.max(1, tokens);
@@ -133,7 +139,7 @@
 			this.layerMs = new double[candidates.size()];
 			this.roomLayers = new int[candidates.size()];
 			for (int index = 0; index < candidates.size(); index++) {
-				rate(index);
+				rate(index, nowNanos);
 			}
 		}
 
@@ -148,7 +154,7 @@
 			return all.stream().mapToInt(Integer::intValue).toArray();
 		}
 
-		private void rate(int index) {
+		private void rate(int index, long nowNanos) {
 			EngineSpec spec = PathFinder.this.engine;
 			Endpoint endpoint = this.candidates.get(index);
 			AcceleratorKind kind = endpoint.accelerator().map(spec.kinds()::get).orElse(null);
@@ -167,7 +173,9 @@
 			// A pass waits for the pass before it, and the share of time that the host is
 			// busy grows with its load.
 			double waiting = 1 + used;
-			this.layerMs[index] = (kind.stepFactor() * step * waiting + kind.readFactor() * read * (1 + load.streams()))
+			double pace = PathFinder.this.paces.factor(endpoint.id(), nowNanos);
+			this.layerMs[index] = pace
+					* (kind.stepFactor() * step * waiting + kind.readFactor() * read * (1 + load.streams()))
 					/ spec.layers();
 		}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -11,6 +11,7 @@
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
 import org.comfreyslip.entry.fleet.EndpointFaults;
+import org.comfreyslip.entry.layers.EnginePaces;
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.retry.RetryBudget;
 
@@ -54,6 +55,8 @@
 
 	private final LayerLoads loads;
 
+	private final EnginePaces paces;
+
 	private final EndpointFaults faults;
 
 	private final RetryBudget budget;
@@ -73,12 +76,13 @@
 	 * @param elapsedNanos elapsed time, in ns
 	 * @param configuration what this daemon knows of the configuration
 	 * @param loads the loads that are exchanged
+	 * @param paces the slow engines that are exchanged
 	 * @param faults the failures that are exchanged
 	 * @param budget the retry budget that the daemons share
 	 */
 	public PeerExchange(EventLoop loop, String name, InetSocketAddress address, PeerRegistry registry,
-			LongSupplier elapsedNanos, KeyedFeed configuration, LayerLoads loads, EndpointFaults faults,
-			RetryBudget budget) {
+			LongSupplier elapsedNanos, KeyedFeed configuration, LayerLoads loads, EnginePaces paces,
+			EndpointFaults faults, RetryBudget budget) {
 		this.loop = loop;
 		this.name = name;
 		this.address = address;
@@ -86,6 +90,7 @@
 		this.elapsedNanos = elapsedNanos;
 		this.configuration = configuration;
 		this.loads = loads;
+		this.paces = paces;
 		this.faults = faults;
 		this.budget = budget;
 	}
@@ -125,6 +130,7 @@
 		long now = this.elapsedNanos.getAsLong();
 		this.table.onMessage(message, from, now)
 			.ifPresent((confirmed) -> this.configuration.onPeerConfirmation(confirmed.offset(), confirmed.atNanos()));
+		message.paces().forEach((id, factor) -> this.paces.onHeard(id, factor, System.nanoTime()));
 		message.unreachable().forEach((id) -> this.faults.onReported(id, System.nanoTime()));
 	}
 
@@ -137,7 +143,8 @@
 		List<String> unreachable = new ArrayList<>(this.faults.ownUnreachable(System.nanoTime()));
 		for (PeerTable.Target target : targets) {
 			this.socket.send(new PeerMessage(this.name, now, target.echoNanos(), this.configuration.nextOffset(),
-					(age == Long.MAX_VALUE) ? -1 : age, this.loads.own(), unreachable), target.address());
+					(age == Long.MAX_VALUE) ? -1 : age, this.loads.own(), this.paces.ownSlow(System.nanoTime()),
+					unreachable), target.address());
 		}
 		this.loop.schedule(this::round, Math.max(PACE_MS, PACE_MS_PER_PEER * targets.size()), TimeUnit.MILLISECONDS);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -25,10 +25,11 @@
  * @param configurationAgeNanos age of the moment at which that was the end of the topic;
  * negative if never confirmed
  * @param loads the sender's own loads by endpoint or pipe
+ * @param paces slow engines that the sender found, as factors on their usual times
  * @param unreachable endpoints that the sender found unreachable just now
  */
 public record PeerMessage(String sender, long sentNanos, long echoNanos, long configurationOffset,
-		long configurationAgeNanos, Map<String, Load> loads, List<String> unreachable) {
+		long configurationAgeNanos, Map<String, Load> loads, Map<String, Double> paces, List<String> unreachable) {
 
 	/** Version of the format; a datagram of another version is ignored. */
 	private static final int FORMAT = 1;
@@ -53,6 +54,11 @@
 				out.writeShort(entry.getValue().streams());
 				out.writeShort(entry.getValue().firsts());
 			}
+			out.writeShort(this.paces.size());
+			for (Map.Entry<String, Double> entry : this.paces.entrySet()) {
+				out.writeUTF(entry.getKey());
+				out.writeDouble(entry.getValue());
+			}
 			out.writeShort(this.unreachable.size());
 			for (String id : this.unreachable) {
 				out.writeUTF(id);
@@ -83,11 +89,15 @@
 			for (int left = in.readUnsignedShort(); left > 0; left--) {
 				loads.put(in.readUTF(), new Load(in.readInt(), in.readUnsignedShort(), in.readUnsignedShort()));
 			}
+			Map<String, Double> paces = new HashMap<>();
+			for (int left = in.readUnsignedShort(); left > 0; left--) {
+				paces.put(in.readUTF(), in.readDouble());
+			}
 			List<String> unreachable = new ArrayList<>();
 			for (int left = in.readUnsignedShort(); left > 0; left--) {
 				unreachable.add(in.readUTF());
 			}
-			return Optional.of(new PeerMessage(sender, sent, echo, offset, age, loads, unreachable));
+			return Optional.of(new PeerMessage(sender, sent, echo, offset, age, loads, paces, unreachable));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port; bytes that are no message are not an
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
@@ -29,10 +29,12 @@
 
 	private final LayerLoads loads = new LayerLoads();
 
-	private final PathFinder finder = new PathFinder(this.engine, this.loads);
+	private final EnginePaces paces = new EnginePaces();
+
+	private final PathFinder finder = new PathFinder(this.engine, this.loads, this.paces);
 
 	private Optional<LayerPath> find(List<Endpoint> endpoints, int tokens) {
-		return this.finder.find(endpoints, "a", tokens, (first) -> true);
+		return this.finder.find(endpoints, "a", tokens, (first) -> true, 0);
 	}
 
 	private static void assertRunsEachLayerOnceInOrder(LayerPath path) {
@@ -68,8 +70,8 @@
 		for (boolean one : held) {
 			complete &= one;
 		}
-		Optional<LayerPath> path = new PathFinder(this.engine, new LayerLoads()).find(endpoints, "a", 100,
-				(first) -> true);
+		Optional<LayerPath> path = new PathFinder(this.engine, new LayerLoads(), new EnginePaces()).find(endpoints, "a",
+				100, (first) -> true, 0);
 		assertThat(path.isPresent()).isEqualTo(complete);
 		path.ifPresent(PathFinderTests::assertRunsEachLayerOnceInOrder);
 	}
@@ -103,6 +105,20 @@
 		assertThat(find(List.of(whole, rest), 100)).isEmpty();
 	}
 
+	@Test
+	void aSlowEngineIsAvoidedWhileItsReportIsNew() {
+		Endpoint slow = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
+		Endpoint spare = Samples.endpoint("y", "a", Samples.FAST, new LayerRange(0, 40));
+		Endpoint rest = Samples.endpoint("z", "a", Samples.FAST, new LayerRange(40, 80));
+		String usual = find(List.of(slow, spare, rest), 100).orElseThrow().first().id();
+		this.paces.onHeard(usual, 5, 0);
+		assertThat(find(List.of(slow, spare, rest), 100).orElseThrow().first().id()).isNotEqualTo(usual);
+		assertThat(this.finder.find(List.of(slow, spare, rest), "a", 100, (first) -> true, 3_000_000_000L)
+			.orElseThrow()
+			.first()
+			.id()).isEqualTo(usual);
+	}
+
 	@Test
 	void releasingAPathRestoresItsRoom() {
 		Endpoint whole = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
@@ -117,7 +133,7 @@
 	void aFirstPartThatFailedTheRequestIsNotTakenAgain() {
 		Endpoint one = Samples.endpoint("one", "a", Samples.FAST, new LayerRange(0, 40));
 		Endpoint rest = Samples.endpoint("rest", "a", Samples.FAST, new LayerRange(40, 80));
-		assertThat(this.finder.find(List.of(one, rest), "a", 100, (first) -> !first.id().equals("one"))).isEmpty();
+		assertThat(this.finder.find(List.of(one, rest), "a", 100, (first) -> !first.id().equals("one"), 0)).isEmpty();
 	}
 
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -22,7 +22,7 @@
 	private final PeerTable table = new PeerTable();
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
-		return new PeerMessage(sender, 77, echoNanos, 12, ageNanos, loads, List.of("e1"));
+		return new PeerMessage(sender, 77, echoNanos, 12, ageNanos, loads, Map.of("e2", 4.5), List.of("e1"));
 	}
 
 	@Test
