--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -68,6 +68,8 @@
 
 	private final PlatformPorts ports;
 
+	private final Runnable exit;
+
 	private final ElapsedClock clock = new ElapsedClock(System::nanoTime, System::currentTimeMillis);
 
 	private final EndpointDirectory directory = new EndpointDirectory();
@@ -101,11 +103,13 @@
 	 * @param loop the event loop on which everything runs
 	 * @param settings the settings
 	 * @param ports the platform's adapter
+	 * @param exit ends the process after the shutdown
 	 */
-	public EntryDaemon(EventLoop loop, EntrySettings settings, PlatformPorts ports) {
+	public EntryDaemon(EventLoop loop, EntrySettings settings, PlatformPorts ports, Runnable exit) {
 		this.loop = loop;
 		this.settings = settings;
 		this.ports = ports;
+		this.exit = exit;
 		this.router = new Router(loop, settings, ports.wire(), this.clock, this.directory, this.configurationFeed,
 				ports.engines(), new SplittableRandom());
 		this.peers = new PeerExchange(loop, settings.name(),
@@ -256,7 +260,7 @@
 		boolean idle = !this.router.isBusy() && this.router.callerCount() == 0;
 		if (idle || sinceMs >= this.settings.graceMs() - GRACE_MARGIN_MS) {
 			EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
-			Runtime.getRuntime().exit(0);
+			this.exit.run();
 		}
 	}
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,3 +7,5 @@
 mkdir -p target/entry
 cp platform/target/lib/*.jar target/entry/
 cp platform/target/comfreyslip-platform-*.jar target/entry/comfreyslip-platform.jar
+java -XX:ArchiveClassesAtExit=target/entry.jsa -XX:+UseSerialGC -cp target/entry/comfreyslip-platform.jar \
+	org.comfreyslip.platform.ArchiveMain 2>target/entry-archive.log
