Keep paths within a data centre while it can carry them

Ruled out: slow engines (their streams stay within the pauses allowed). Also, failures heard from other daemons keep the time of the first one, so that a lost engine's layers move.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -79,7 +79,9 @@
 	 */
 	public void onReported(String id, long nowNanos) {
 		if (!isAvoided(id, nowNanos)) {
-			this.faults.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, nowNanos));
+			Fault old = this.faults.get(id);
+			long since = (old != null) ? old.sinceNanos() : nowNanos;
+			this.faults.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, since));
 		}
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -40,7 +40,7 @@
 	 * Delay of handing on to another data centre beside the pipe, in ms: as stated for
 	 * both deployments.
 	 */
-	private static final double REMOTE_HOP_MS = 0.9;
+	private static final double REMOTE_HOP_MS = 8;
 
 	/**
 	 * Cost of a first part in another data centre, in ms: the bytes between daemon and
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -75,6 +75,14 @@
 		assertThat(this.faults.isLost("a", TimeUnit.MILLISECONDS.toNanos(1_300))).isFalse();
 	}
 
+	@Test
+	void failuresThatOnlyOtherDaemonsSeeLastToo() {
+		for (long atMs = 0; atMs <= 1_600; atMs += 200) {
+			this.faults.onReported("a", TimeUnit.MILLISECONDS.toNanos(atMs));
+		}
+		assertThat(this.faults.isLost("a", TimeUnit.MILLISECONDS.toNanos(1_600))).isTrue();
+	}
+
 	@Test
 	void whatAnotherDaemonReportedIsNotPassedOn() {
 		this.faults.onReported("a", 0);
