Confirm the configuration at once after a start, and let requests wait unread until then

Ruled out: the start itself (listening 0.2 s after the process) and missing endpoints (known within 0.3 s).

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -33,6 +33,15 @@
 	 */
 	private static final long REQUEST_TICK_MS = 40;
 
+	/**
+	 * Longest time after the start in which requests wait unread, in ms; callers give up
+	 * after a second.
+	 */
+	private static final long OPEN_AFTER_MS = 800;
+
+	/** Time between two looks whether requests can be served at the start, in ms. */
+	private static final long OPEN_CHECK_MS = 25;
+
 	/** Time between two looks at connections, registrations and the placement, in ms. */
 	private static final long HOUSEKEEPING_MS = 200;
 
@@ -94,6 +103,8 @@
 
 	private boolean wasReady;
 
+	private long startNanos;
+
 	private long stopNanos;
 
 	private boolean stopping;
@@ -132,6 +143,8 @@
 		this.endpointReader.start();
 		renewDuty();
 		this.peers.start();
+		this.startNanos = System.nanoTime();
+		openWhenServing();
 		this.loop.scheduleAtFixedRate(guarded("requests", () -> this.router.tick(System.nanoTime())), REQUEST_TICK_MS,
 				REQUEST_TICK_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(guarded("housekeeping", this::housekeep), HOUSEKEEPING_MS, HOUSEKEEPING_MS,
@@ -164,6 +177,18 @@
 		}
 	}
 
+	// A request that arrives while the daemon starts is served a moment later rather than
+	// refused.
+	private void openWhenServing() {
+		boolean serving = this.endpointReader.isReady() && this.router.canServe();
+		if (serving || System.nanoTime() - this.startNanos >= TimeUnit.MILLISECONDS.toNanos(OPEN_AFTER_MS)) {
+			this.router.open();
+		}
+		else {
+			this.loop.schedule(guarded("start", this::openWhenServing), OPEN_CHECK_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private void renewDuty() {
 		long sent = this.clock.nanos();
 		this.ports.duties().join(this.lease.generation(), DutyLease.TTL_MS, (joined) -> {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -74,7 +74,11 @@
 			this.log.newest(this.feed.afterKey(), (outcome) -> onOutcome(outcome, sent));
 		}
 		else {
-			this.log.read(this.feed.nextOffset(), this.waitMs, (outcome) -> onOutcome(outcome, sent));
+			// After a start or an outage the knowledge must be confirmed before anything
+			// is served, so this read
+			// does not wait for records.
+			boolean old = this.feed.ageNanos(sent) > TimeUnit.MILLISECONDS.toNanos(2 * this.waitMs);
+			this.log.read(this.feed.nextOffset(), (old) ? 0 : this.waitMs, (outcome) -> onOutcome(outcome, sent));
 		}
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -75,9 +75,16 @@
 	public void channelActive(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
 		this.lastReadNanos = System.nanoTime();
+		this.channel.config().setAutoRead(this.router.isOpen());
 		this.router.onCallerOpened(this);
 	}
 
+	/** Starts to read what the caller sent while the daemon started. */
+	void open() {
+		this.lastReadNanos = System.nanoTime();
+		this.channel.config().setAutoRead(true);
+	}
+
 	/** Called with each read of raw bytes, before they are decoded. */
 	void onBytes() {
 		this.lastReadNanos = System.nanoTime();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -130,6 +130,8 @@
 
 	private RequestLimits limits = RequestLimits.INITIAL;
 
+	private boolean opened;
+
 	private boolean stopping;
 
 	private long buffered;
@@ -238,6 +240,16 @@
 		return this.stopping;
 	}
 
+	/** Lets requests in. Before, callers may connect, but their requests are not read. */
+	public void open() {
+		this.opened = true;
+		new ArrayList<>(this.callers).forEach(CallerConnection::open);
+	}
+
+	boolean isOpen() {
+		return this.opened;
+	}
+
 	/** Announces to callers that their connections end with the next response. */
 	public void stop() {
 		this.stopping = true;
