--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/BoundedLogOutput.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/BoundedLogOutput.java
@@ -80,7 +80,7 @@
 		StringBuilder batch = new StringBuilder();
 		synchronized (this.lines) {
 			if (this.dropped > 0) {
-				batch.append("event=")
+				batch.append("event=CS-")
 					.append(EntryEvent.LINES_DROPPED.number())
 					.append(" LINES_DROPPED count=")
 					.append(this.dropped)
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -49,7 +49,7 @@
 	 * How long a read of the configuration waits, in ms; renews the keys' freshness well
 	 * within its bound.
 	 */
-	private static final long CONFIGURATION_WAIT_MS = 1_200;
+	private static final long CONFIGURATION_WAIT_MS = 2_000;
 
 	/** How long a read of the registrations waits, in ms. */
 	private static final long ENDPOINTS_WAIT_MS = 1_500;
@@ -58,7 +58,7 @@
 	 * Pause between reads of the registrations, in ms; a leaving endpoint must be known
 	 * within 2 s.
 	 */
-	private static final long ENDPOINTS_PACE_MS = 400;
+	private static final long ENDPOINTS_PACE_MS = 700;
 
 	/**
 	 * Time after the stop signal in which new connections are still served, in ms: the
@@ -139,6 +139,12 @@
 		ChannelFuture callers = Listeners.callers(this.loop, this.settings.callers(), this.router);
 		this.callerListener = callers.channel();
 		Listeners.readiness(this.loop, this.settings.readiness(), this::isReady);
+		Listeners.metrics(this.loop, this.settings.metrics(), this.router.metrics()).addListener((bound) -> {
+			if (!bound.isSuccess()) {
+				EntryLog.write(EntryEvent.TASK_FAILED, "metrics", "address", this.settings.metrics(), "cause",
+						bound.cause());
+			}
+		});
 		this.configurationReader.start();
 		this.endpointReader.start();
 		renewDuty();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -8,73 +8,73 @@
 public enum EntryEvent {
 
 	/** The daemon listens. */
-	STARTED(6001, Level.INFO),
+	STARTED(8001, Level.INFO),
 
 	/** The shutdown began. */
-	STOPPING(6002, Level.INFO),
+	STOPPING(8002, Level.INFO),
 
 	/** The daemon ends. */
-	STOPPED(6003, Level.INFO),
+	STOPPED(8003, Level.INFO),
 
 	/** The settings were read again. */
-	RELOADED(6004, Level.INFO),
+	RELOADED(8004, Level.INFO),
 
 	/** The daemon reports itself ready. */
-	READY(6005, Level.INFO),
+	READY(8005, Level.INFO),
 
 	/** The daemon reports itself not ready. */
-	NOT_READY(6006, Level.WARNING),
+	NOT_READY(8006, Level.WARNING),
 
 	/** Lines were dropped to bound the volume of the log. */
-	LINES_DROPPED(6007, Level.WARNING),
+	LINES_DROPPED(8007, Level.WARNING),
 
 	/** A task of the daemon failed unexpectedly. */
-	TASK_FAILED(6008, Level.SEVERE),
+	TASK_FAILED(8008, Level.SEVERE),
 
 	/** A configuration is in force. */
-	CONFIGURATION(6101, Level.INFO),
+	CONFIGURATION(8101, Level.INFO),
 
 	/** A record cannot be decoded. */
-	RECORD_UNREADABLE(6102, Level.WARNING),
+	RECORD_UNREADABLE(8102, Level.WARNING),
 
 	/** The store is out of reach. */
-	STORE_LOST(6103, Level.WARNING),
+	STORE_LOST(8103, Level.WARNING),
 
 	/** The store answers again. */
-	STORE_BACK(6104, Level.INFO),
+	STORE_BACK(8104, Level.INFO),
 
 	/** An endpoint appeared or changed. */
-	ENDPOINT_CHANGED(6201, Level.INFO),
+	ENDPOINT_CHANGED(8201, Level.INFO),
 
 	/** An endpoint's registration is gone. */
-	ENDPOINT_GONE(6202, Level.INFO),
+	ENDPOINT_GONE(8202, Level.INFO),
 
 	/** An endpoint was named as the cause of a failure. */
-	ENDPOINT_BLAMED(6203, Level.WARNING),
+	ENDPOINT_BLAMED(8203, Level.WARNING),
 
 	/** An engine is slower than usual. */
-	ENGINE_SLOW(6204, Level.INFO),
+	ENGINE_SLOW(8204, Level.INFO),
 
 	/** A request has its final answer. */
-	REQUEST_CLOSED(6301, Level.INFO),
+	REQUEST_CLOSED(8301, Level.INFO),
 
 	/** A request goes on at another endpoint. */
-	REQUEST_MOVED(6302, Level.WARNING),
+	REQUEST_MOVED(8302, Level.WARNING),
 
 	/** A request was refused before it was read completely. */
-	REQUEST_REJECTED(6303, Level.WARNING),
+	REQUEST_REJECTED(8303, Level.WARNING),
 
 	/** A stream without progress was looked into. */
-	STREAM_INQUIRED(6304, Level.WARNING),
+	STREAM_INQUIRED(8304, Level.WARNING),
 
 	/** This daemon holds the placement of layers, or no longer does. */
-	DUTY(6401, Level.INFO),
+	DUTY(8401, Level.INFO),
 
 	/** An endpoint was ordered to hold layers. */
-	LAYERS_ORDERED(6402, Level.INFO),
+	LAYERS_ORDERED(8402, Level.INFO),
 
 	/** What became of an order. */
-	ORDER_OUTCOME(6403, Level.INFO);
+	ORDER_OUTCOME(8403, Level.INFO);
 
 	private final int number;
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryLog.java
@@ -20,7 +20,7 @@
 	 */
 	public static void write(EntryEvent event, String subject, Object... pairs) {
 		StringBuilder line = new StringBuilder(160);
-		line.append("event=").append(event.number()).append(' ').append(event.name());
+		line.append("event=CS-").append(event.number()).append(' ').append(event.name());
 		line.append(" subject=").append(subject);
 		for (int index = 0; index + 1 < pairs.length; index += 2) {
 			line.append(' ').append(pairs[index]).append('=').append(pairs[index + 1]);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntrySettings.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntrySettings.java
@@ -11,6 +11,7 @@
  * @param dataCentre the data centre
  * @param callers where callers connect
  * @param readiness where readiness is asked
+ * @param metrics where metrics are read
  * @param firstPeerPort the first of the ports free for use between daemons
  * @param store where the store listens
  * @param keyFreshnessMs age of the configuration up to which an API key is accepted, in
@@ -21,6 +22,7 @@
  * @param graceMs time from the stop signal to the end of the process, in ms
  */
 public record EntrySettings(String name, String host, String dataCentre, InetSocketAddress callers,
-		InetSocketAddress readiness, int firstPeerPort, InetSocketAddress store, Optional<Long> keyFreshnessMs,
-		double retryRatio, double retryConstant, double retryWindowSeconds, long graceMs) {
+		InetSocketAddress readiness, InetSocketAddress metrics, int firstPeerPort, InetSocketAddress store,
+		Optional<Long> keyFreshnessMs, double retryRatio, double retryConstant, double retryWindowSeconds,
+		long graceMs) {
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/UnreadableRecordException.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/UnreadableRecordException.java
@@ -7,7 +7,7 @@
 public class UnreadableRecordException extends RuntimeException {
 
 	/** Code of the error. */
-	public static final String CODE = "CS-6102";
+	public static final String CODE = "CS-8102";
 
 	/**
 	 * Creates the error.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
@@ -125,7 +124,7 @@
 	void begin() {
 		Router.Admission admission = this.router.admit(this.incoming, this.facts);
 		if (admission.refusal() != null) {
-			answer(admission.refusal(), "refused " + admission.reason());
+			answer(admission.refusal(), Outcome.REFUSED, admission.reason());
 			return;
 		}
 		this.admitted = admission.admitted();
@@ -348,7 +347,7 @@
 		}
 		this.router.faults().onResponse(this.endpoint.id(), false);
 		relayHead();
-		finish("served");
+		finish(Outcome.SERVED, "stream");
 		this.caller.endStream();
 	}
 
@@ -380,7 +379,7 @@
 				this.replyBody, relayedHeaders(), EmptyHttpHeaders.INSTANCE);
 		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
 		settle((now - this.sentNanos) / 1e6);
-		finish("served with status " + status);
+		finish(Outcome.SERVED, "status " + status);
 		this.caller.reply(response);
 	}
 
@@ -413,7 +412,7 @@
 
 	// Ends the current send and dispatches the request to another endpoint.
 	private void next(long now, double tookMs, String why) {
-		this.router.log(EntryEvent.REQUEST_MOVED, id(), "endpoint", this.endpoint.id(), "why", why);
+		this.router.onMoved(id(), this.endpoint.id(), why);
 		this.tried.add(this.endpoint.id());
 		settle(tookMs);
 		dispatch();
@@ -466,7 +465,7 @@
 			fail(why);
 		}
 		else {
-			answer(Replies.own(HttpResponseStatus.SERVICE_UNAVAILABLE, message, retryAfterMs), "refused " + why);
+			answer(Replies.own(HttpResponseStatus.SERVICE_UNAVAILABLE, message, retryAfterMs), Outcome.REFUSED, why);
 		}
 	}
 
@@ -478,12 +477,13 @@
 		HttpResponseStatus status = (this.mayHaveRun) ? HttpResponseStatus.BAD_GATEWAY
 				: HttpResponseStatus.SERVICE_UNAVAILABLE;
 		long retryAfterMs = (this.mayHaveRun) ? -1 : this.router.capacityRetryMs();
-		answer(Replies.own(status, "the endpoint failed", retryAfterMs), "failed " + why);
+		answer(Replies.own(status, "the endpoint failed", retryAfterMs),
+				(this.mayHaveRun) ? Outcome.FAILED : Outcome.REFUSED, why);
 	}
 
 	private void breakOff(String why) {
 		settle(-1);
-		finish("broken off " + why);
+		finish(Outcome.BROKEN_OFF, why);
 		this.caller.abort();
 	}
 
@@ -497,22 +497,22 @@
 			breakOff(why);
 			return;
 		}
-		answer(Replies.own(HttpResponseStatus.GATEWAY_TIMEOUT, "no response in time", -1), "timed out " + why);
+		answer(Replies.own(HttpResponseStatus.GATEWAY_TIMEOUT, "no response in time", -1), Outcome.TIMED_OUT, why);
 	}
 
-	private void answer(DefaultFullHttpResponse response, String outcome) {
-		finish(outcome);
+	private void answer(DefaultFullHttpResponse response, Outcome outcome, String why) {
+		finish(outcome, why);
 		this.caller.reply(response);
 	}
 
-	private void finish(String outcome) {
+	private void finish(Outcome outcome, String why) {
 		if (this.done) {
 			return;
 		}
 		settle(-1);
 		this.done = true;
 		this.incoming.release(this.router);
-		this.router.onClosed(this, outcome);
+		this.router.onClosed(this, outcome, why);
 	}
 
 	/** The caller closed its connection: the endpoint's work is cancelled. */
@@ -520,7 +520,7 @@
 		if (this.connection != null) {
 			this.connection.abort();
 		}
-		finish("caller left");
+		finish(Outcome.CALLER_LEFT, "connection closed");
 	}
 
 	// Watches deadlines and streams without progress.
@@ -564,9 +564,12 @@
 		});
 	}
 
+	long ageMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.incoming.arrivalNanos());
+	}
+
 	String describe() {
-		long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.incoming.arrivalNanos());
-		return "ms=" + tookMs + " sends=" + this.sends + " endpoints=" + this.history;
+		return "ms=" + ageMs() + " sends=" + this.sends + " endpoints=" + this.history;
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
@@ -1,9 +1,12 @@
 package org.comfreyslip.entry.http;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -25,6 +28,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.comfreyslip.entry.EntryMetrics;
 
 /**
  * Opens the daemon's listeners.
@@ -42,8 +46,8 @@
 	 */
 	private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 128 << 10);
 
-	/** Largest readiness request, in bytes. */
-	private static final int MAX_READINESS = 8_192;
+	/** Largest request for readiness or metrics, in bytes. */
+	private static final int MAX_QUESTION = 8_192;
 
 	private Listeners() {
 	}
@@ -79,17 +83,33 @@
 	 * @return the pending bind
 	 */
 	public static ChannelFuture readiness(EventLoop loop, InetSocketAddress address, BooleanSupplier ready) {
+		return answering(loop, address, () -> new Answer(
+				(ready.getAsBoolean()) ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
+	}
+
+	private static ChannelFuture answering(EventLoop loop, InetSocketAddress address, Supplier<Answer> answers) {
 		return bootstrap(loop).childHandler(new ChannelInitializer<Channel>() {
 			@Override
 			protected void initChannel(Channel channel) {
 				channel.pipeline()
 					.addLast(new HttpServerCodec())
-					.addLast(new HttpObjectAggregator(MAX_READINESS))
-					.addLast(new Readiness(ready));
+					.addLast(new HttpObjectAggregator(MAX_QUESTION))
+					.addLast(new Answering(answers));
 			}
 		}).bind(address);
 	}
 
+	/**
+	 * Listens for readers of the metrics.
+	 * @param loop the event loop
+	 * @param address where to listen
+	 * @param metrics the metrics
+	 * @return the pending bind
+	 */
+	public static ChannelFuture metrics(EventLoop loop, InetSocketAddress address, EntryMetrics metrics) {
+		return answering(loop, address, () -> new Answer(HttpResponseStatus.OK, metrics.text()));
+	}
+
 	private static ServerBootstrap bootstrap(EventLoop loop) {
 		return new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
@@ -115,21 +135,23 @@
 
 	}
 
-	private static final class Readiness extends SimpleChannelInboundHandler<FullHttpRequest> {
+	private record Answer(HttpResponseStatus status, String body) {
+	}
+
+	private static final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-		private final BooleanSupplier ready;
+		private final Supplier<Answer> answers;
 
-		Readiness(BooleanSupplier ready) {
-			this.ready = ready;
+		Answering(Supplier<Answer> answers) {
+			this.answers = answers;
 		}
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-			HttpResponseStatus status = (this.ready.getAsBoolean()) ? HttpResponseStatus.OK
-					: HttpResponseStatus.SERVICE_UNAVAILABLE;
-			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-					Unpooled.EMPTY_BUFFER);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+			Answer answer = this.answers.get();
+			ByteBuf body = Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8);
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(), body);
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 			ChannelFuture written = ctx.writeAndFlush(response);
 			if (!HttpUtil.isKeepAlive(request)) {
 				written.addListener(ChannelFutureListener.CLOSE);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
+import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.EntrySettings;
 import org.comfreyslip.entry.config.ElapsedClock;
 import org.comfreyslip.entry.config.KeyedFeed;
@@ -88,8 +89,6 @@
 	/** Pause after which a stream is looked into on a route that states none, in ms. */
 	private static final long DEFAULT_GAP_MS = 300;
 
-	private final EventLoop loop;
-
 	private final EntrySettings settings;
 
 	private final Wire wire;
@@ -114,6 +113,8 @@
 
 	private final RetryBudget budget;
 
+	private final EntryMetrics metrics = new EntryMetrics();
+
 	private final EngineControl engines;
 
 	private final RandomGenerator random;
@@ -136,8 +137,6 @@
 
 	private long buffered;
 
-	private long served;
-
 	/**
 	 * Creates the router.
 	 * @param loop the event loop on which everything runs
@@ -151,7 +150,6 @@
 	 */
 	public Router(EventLoop loop, EntrySettings settings, Wire wire, ElapsedClock clock, EndpointDirectory directory,
 			KeyedFeed configurationFeed, EngineControl engines, RandomGenerator random) {
-		this.loop = loop;
 		this.settings = settings;
 		this.wire = wire;
 		this.clock = clock;
@@ -208,6 +206,14 @@
 		return this.paces;
 	}
 
+	/**
+	 * Returns the counters and histograms.
+	 * @return the metrics
+	 */
+	public EntryMetrics metrics() {
+		return this.metrics;
+	}
+
 	/**
 	 * Returns the retry budget.
 	 * @return the budget
@@ -216,10 +222,6 @@
 		return this.budget;
 	}
 
-	EventLoop loop() {
-		return this.loop;
-	}
-
 	Wire wire() {
 		return this.wire;
 	}
@@ -447,27 +449,32 @@
 
 	void onOpened(Exchange exchange, Admitted admitted) {
 		this.open.add(exchange);
+		this.metrics.add(EntryMetrics.Count.REQUESTS);
 		this.budget.onRequest(admitted.service(), System.nanoTime());
 	}
 
-	void onClosed(Exchange exchange, String outcome) {
+	void onClosed(Exchange exchange, Outcome outcome, String why) {
 		this.open.remove(exchange);
-		this.served++;
-		EntryLog.write(EntryEvent.REQUEST_CLOSED, exchange.id(), "outcome", outcome, "detail", exchange.describe(),
-				"version", (this.configuration != null) ? this.configuration.version() : -1);
+		this.metrics.add(outcome.count());
+		this.metrics.record(EntryMetrics.Time.REQUEST, exchange.ageMs());
+		EntryLog.write(EntryEvent.REQUEST_CLOSED, exchange.id(), "outcome", outcome, "why", why, "detail",
+				exchange.describe(), "version", (this.configuration != null) ? this.configuration.version() : -1);
 	}
 
 	void onFirstEvent(long arrivalNanos, long nowNanos) {
+		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos));
 	}
 
-	void log(EntryEvent event, String subject, Object... pairs) {
-		EntryLog.write(event, subject, pairs);
+	void onMoved(String requestId, String endpoint, String why) {
+		this.metrics.add(EntryMetrics.Count.MOVED);
+		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", why);
 	}
 
 	// Records a refusal; returns whether another endpoint than the asked one caused it.
 	boolean onRefusedByEndpoint(Endpoint asked, String blamedAddress, int status, long nowNanos) {
 		Endpoint blamed = findByAddress(asked.service(), blamedAddress).orElse(asked);
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, blamed.id(), "asked", asked.id(), "status", status);
+		this.metrics.add(EntryMetrics.Count.ENDPOINTS_BLAMED);
 		this.faults.onUnreachable(blamed.id(), nowNanos);
 		return !blamed.id().equals(asked.id());
 	}
--- /dev/null
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/EntryMetricsTests.java
@@ -0,0 +1,32 @@
+package org.comfreyslip.entry;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link EntryMetrics}. They guard against metrics that a reader cannot parse.
+ */
+class EntryMetricsTests {
+
+	private final EntryMetrics metrics = new EntryMetrics();
+
+	@Test
+	void eachCounterIsWrittenFromTheStart() {
+		assertThat(this.metrics.text()).contains("comfreyslip_served_total 0\n");
+		this.metrics.add(EntryMetrics.Count.SERVED);
+		assertThat(this.metrics.text()).contains("comfreyslip_served_total 1\n");
+	}
+
+	@Test
+	void timesAreWrittenAsQuantilesAndACount() {
+		for (int ms = 1; ms <= 100; ms++) {
+			this.metrics.record(EntryMetrics.Time.FIRST_EVENT, ms);
+		}
+		this.metrics.record(EntryMetrics.Time.REQUEST, 1_000_000);
+		assertThat(this.metrics.text()).contains("comfreyslip_first_event_ms{quantile=\"0.5\"} 50\n")
+			.contains("comfreyslip_first_event_ms_count 100\n")
+			.contains("comfreyslip_request_ms_count 1\n");
+	}
+
+}
