--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -73,7 +73,7 @@
 
 	private final EventLoop loop;
 
-	private final EntrySettings settings;
+	private EntrySettings settings;
 
 	private final PlatformPorts ports;
 
@@ -269,6 +269,21 @@
 		return ready;
 	}
 
+	/**
+	 * Takes changed settings. Addresses, name and data centre stay as they were at the
+	 * start, because peers and the store know the daemon by them.
+	 * @param next the settings as they are now
+	 */
+	public void reload(EntrySettings next) {
+		if (next.equals(this.settings)) {
+			return;
+		}
+		this.settings = next.withIdentityOf(this.settings);
+		this.router.reload(this.settings);
+		EntryLog.write(EntryEvent.RELOADED, this.settings.name(), "key_freshness_ms", next.keyFreshnessMs(),
+				"retry_ratio", next.retryRatio(), "retry_constant", next.retryConstant(), "grace_ms", next.graceMs());
+	}
+
 	/** Begins the shutdown: open requests are finished, then the process ends. */
 	public void stop() {
 		if (this.stopping) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntrySettings.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntrySettings.java
@@ -25,4 +25,16 @@
 		InetSocketAddress readiness, InetSocketAddress metrics, int firstPeerPort, InetSocketAddress store,
 		Optional<Long> keyFreshnessMs, double retryRatio, double retryConstant, double retryWindowSeconds,
 		long graceMs) {
+
+	/**
+	 * Returns these settings for a daemon that already listens.
+	 * @param running the settings that it was started with
+	 * @return these limits with the name, the data centre and the addresses of the others
+	 */
+	public EntrySettings withIdentityOf(EntrySettings running) {
+		return new EntrySettings(running.name, running.host, running.dataCentre, running.callers, running.readiness,
+				running.metrics, running.firstPeerPort, running.store, this.keyFreshnessMs, this.retryRatio,
+				this.retryConstant, this.retryWindowSeconds, this.graceMs);
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -89,7 +89,7 @@
 	/** Pause after which a stream is looked into on a route that states none, in ms. */
 	private static final long DEFAULT_GAP_MS = 300;
 
-	private final EntrySettings settings;
+	private EntrySettings settings;
 
 	private final Wire wire;
 
@@ -242,6 +242,16 @@
 		return this.stopping;
 	}
 
+	/**
+	 * Takes settings that may change while the daemon runs: the freshness of keys and the
+	 * retry budget.
+	 * @param next the settings
+	 */
+	public void reload(EntrySettings next) {
+		this.settings = next;
+		this.budget.setLimits(next.retryRatio(), next.retryConstant(), next.retryWindowSeconds());
+	}
+
 	/** Lets requests in. Before, callers may connect, but their requests are not read. */
 	public void open() {
 		this.opened = true;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/retry/RetryBudget.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/retry/RetryBudget.java
@@ -19,11 +19,11 @@
 	 */
 	private static final double SAFE_SHARE = 0.7;
 
-	private final double ratio;
+	private double ratio;
 
-	private final double constant;
+	private double constant;
 
-	private final long windowNanos;
+	private long windowNanos;
 
 	private final Map<String, Window> windows = new HashMap<>();
 
@@ -37,10 +37,20 @@
 	 * @param daemons number of daemons assumed until it is known
 	 */
 	public RetryBudget(double ratio, double constant, double windowSeconds, int daemons) {
-		this.ratio = ratio;
-		this.constant = constant;
-		this.windowNanos = (long) (windowSeconds * TimeUnit.SECONDS.toNanos(1));
 		this.daemons = daemons;
+		setLimits(ratio, constant, windowSeconds);
+	}
+
+	/**
+	 * Sets the limits for retries from now on.
+	 * @param newRatio retries per request
+	 * @param newConstant retries in a window beside the ratio, of all daemons together
+	 * @param windowSeconds length of the window, in s
+	 */
+	public void setLimits(double newRatio, double newConstant, double windowSeconds) {
+		this.ratio = newRatio;
+		this.constant = newConstant;
+		this.windowNanos = (long) (windowSeconds * TimeUnit.SECONDS.toNanos(1));
 	}
 
 	/**
