--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -123,7 +123,7 @@
 		this.exit = exit;
 		this.router = new Router(loop, settings, ports.wire(), this.clock, this.directory, this.configurationFeed,
 				ports.engines(), new SplittableRandom());
-		this.peers = new PeerExchange(loop, settings.name(),
+		this.peers = new PeerExchange(loop, settings.name(), settings.dataCentre(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
 				this.configurationFeed, this.router.loads(), this.router.paces(), this.router.faults(),
 				this.router.budget());
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -26,6 +26,12 @@
 	 */
 	private static final long PACE_MS = 200;
 
+	/**
+	 * Rounds between two messages to a peer in another data centre, whose streams seldom
+	 * share engines.
+	 */
+	private static final int FAR_ROUNDS = 4;
+
 	/**
 	 * Least time for each peer in a round, in ms; bounds the messages a second at many
 	 * peers.
@@ -45,6 +51,8 @@
 
 	private final String name;
 
+	private final String dataCentre;
+
 	private final InetSocketAddress address;
 
 	private final PeerRegistry registry;
@@ -67,10 +75,13 @@
 
 	private PeerSocket socket;
 
+	private int rounds;
+
 	/**
 	 * Creates the exchange.
 	 * @param loop the event loop
 	 * @param name this daemon's name
+	 * @param dataCentre this daemon's data centre
 	 * @param address where this daemon receives datagrams
 	 * @param registry where daemons announce themselves
 	 * @param elapsedNanos elapsed time, in ns
@@ -80,11 +91,12 @@
 	 * @param faults the failures that are exchanged
 	 * @param budget the retry budget that the daemons share
 	 */
-	public PeerExchange(EventLoop loop, String name, InetSocketAddress address, PeerRegistry registry,
-			LongSupplier elapsedNanos, KeyedFeed configuration, LayerLoads loads, EnginePaces paces,
-			EndpointFaults faults, RetryBudget budget) {
+	public PeerExchange(EventLoop loop, String name, String dataCentre, InetSocketAddress address,
+			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configuration, LayerLoads loads,
+			EnginePaces paces, EndpointFaults faults, RetryBudget budget) {
 		this.loop = loop;
 		this.name = name;
+		this.dataCentre = dataCentre;
 		this.address = address;
 		this.registry = registry;
 		this.elapsedNanos = elapsedNanos;
@@ -141,10 +153,14 @@
 		List<PeerTable.Target> targets = this.table.targets();
 		long age = this.configuration.ageNanos(now);
 		List<String> unreachable = new ArrayList<>(this.faults.ownUnreachable(System.nanoTime()));
+		boolean farRound = this.rounds++ % FAR_ROUNDS == 0;
 		for (PeerTable.Target target : targets) {
-			this.socket.send(new PeerMessage(this.name, now, target.echoNanos(), this.configuration.nextOffset(),
-					(age == Long.MAX_VALUE) ? -1 : age, this.loads.own(), this.paces.ownSlow(System.nanoTime()),
-					unreachable), target.address());
+			if (!farRound && !target.dataCentre().equals(this.dataCentre)) {
+				continue;
+			}
+			this.socket.send(new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
+					this.configuration.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age, this.loads.own(),
+					this.paces.ownSlow(System.nanoTime()), unreachable), target.address());
 		}
 		this.loop.schedule(this::round, Math.max(PACE_MS, PACE_MS_PER_PEER * targets.size()), TimeUnit.MILLISECONDS);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -18,6 +18,7 @@
  * One datagram between daemons.
  *
  * @param sender name of the sending daemon
+ * @param dataCentre the sender's data centre
  * @param sentNanos the sender's elapsed time at sending
  * @param echoNanos the newest {@code sentNanos} that the sender has from the receiver; 0
  * if none
@@ -28,7 +29,7 @@
  * @param paces slow engines that the sender found, as factors on their usual times
  * @param unreachable endpoints that the sender found unreachable just now
  */
-public record PeerMessage(String sender, long sentNanos, long echoNanos, long configurationOffset,
+public record PeerMessage(String sender, String dataCentre, long sentNanos, long echoNanos, long configurationOffset,
 		long configurationAgeNanos, Map<String, Load> loads, Map<String, Double> paces, List<String> unreachable) {
 
 	/** Version of the format; a datagram of another version is ignored. */
@@ -43,6 +44,7 @@
 		try (DataOutputStream out = new DataOutputStream(bytes)) {
 			out.writeByte(FORMAT);
 			out.writeUTF(this.sender);
+			out.writeUTF(this.dataCentre);
 			out.writeLong(this.sentNanos);
 			out.writeLong(this.echoNanos);
 			out.writeLong(this.configurationOffset);
@@ -81,6 +83,7 @@
 				return Optional.empty();
 			}
 			String sender = in.readUTF();
+			String dataCentre = in.readUTF();
 			long sent = in.readLong();
 			long echo = in.readLong();
 			long offset = in.readLong();
@@ -97,7 +100,7 @@
 			for (int left = in.readUnsignedShort(); left > 0; left--) {
 				unreachable.add(in.readUTF());
 			}
-			return Optional.of(new PeerMessage(sender, sent, echo, offset, age, loads, paces, unreachable));
+			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, offset, age, loads, paces, unreachable));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port; bytes that are no message are not an
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -19,7 +19,7 @@
 	 * Time without a message after which a peer's loads no longer count, in ns: several
 	 * lost datagrams.
 	 */
-	private static final long LIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+	private static final long LIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
 	/**
 	 * Time for which a peer that fell silent still shares the retry budget, in ns: the
@@ -70,7 +70,8 @@
 	public List<Target> targets() {
 		List<Target> targets = new ArrayList<>();
 		this.peers.forEach((name, peer) -> targets
-			.add(new Target(name, peer.address, (peer.message != null) ? peer.message.sentNanos() : 0)));
+			.add(new Target(name, peer.address, (peer.message != null) ? peer.message.dataCentre() : "",
+					(peer.message != null) ? peer.message.sentNanos() : 0)));
 		return targets;
 	}
 
@@ -106,22 +107,6 @@
 		return count;
 	}
 
-	/**
-	 * Finds a live peer that knows the configuration further than this daemon.
-	 * @param offset the offset up to which this daemon knows it
-	 * @param nowNanos the current elapsed time in ns
-	 * @return the peer, empty if there is none
-	 */
-	public Optional<Target> ahead(long offset, long nowNanos) {
-		for (Map.Entry<String, Peer> entry : this.peers.entrySet()) {
-			Peer peer = entry.getValue();
-			if (peer.heard && nowNanos - peer.heardNanos < LIVE_NANOS && peer.message.configurationOffset() > offset) {
-				return Optional.of(new Target(entry.getKey(), peer.address, peer.message.sentNanos()));
-			}
-		}
-		return Optional.empty();
-	}
-
 	private static final class Peer {
 
 		private InetSocketAddress address;
@@ -139,9 +124,10 @@
 	 *
 	 * @param name the peer's name
 	 * @param address its address
+	 * @param dataCentre its data centre, empty if not heard yet
 	 * @param echoNanos the newest sending time received from it; 0 if none
 	 */
-	public record Target(String name, InetSocketAddress address, long echoNanos) {
+	public record Target(String name, InetSocketAddress address, String dataCentre, long echoNanos) {
 	}
 
 	/**
