Cut the streams through hosts that move; one endpoint per address

And a crashed endpoint whose successor took its address stayed usable while its registration lapsed, which gave 136 refusals with 421. Ruled out: loading (1 to 2 s), the fence (no order refused). Change: moves cut the streams, the host with the fewest streams moves; a newer registration at an address removes the older one.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -127,7 +127,8 @@
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
 				this.configurationFeed, this.router.loads(), this.router.paces(), this.router.faults(),
 				this.router.budget());
-		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), ports.engines(), this.lease);
+		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
+				ports.engines(), this.lease);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
 		this.endpointReader = new FeedReader(loop, "endpoints", ports.endpoints(), this.endpointFeed, this.clock::nanos,
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -42,6 +42,7 @@
 			return false;
 		}
 		this.lapsed.remove(endpoint.id());
+		removePredecessors(endpoint);
 		this.registered.put(endpoint.id(), endpoint);
 		boolean changed = old == null || !sameButHeartbeat(old, endpoint);
 		if (changed) {
@@ -50,6 +51,18 @@
 		return changed;
 	}
 
+	// An address serves one endpoint at a time, so an older one that is still registered
+	// there has ended.
+	private void removePredecessors(Endpoint endpoint) {
+		this.registered.values().removeIf((other) -> isPredecessor(other, endpoint));
+		this.lapsed.values().removeIf((other) -> isPredecessor(other.endpoint(), endpoint));
+	}
+
+	private static boolean isPredecessor(Endpoint other, Endpoint endpoint) {
+		return !other.id().equals(endpoint.id()) && other.address().equals(endpoint.address())
+				&& other.bornMs() < endpoint.bornMs();
+	}
+
 	private static boolean isOlder(Endpoint candidate, Endpoint known) {
 		if (candidate.bornMs() != known.bornMs()) {
 			return candidate.bornMs() < known.bornMs();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/EngineControl.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/EngineControl.java
@@ -20,7 +20,8 @@
 	void report(Endpoint endpoint, Consumer<Optional<Report>> done);
 
 	/**
-	 * Orders an engine to hold a range of layers in place of what it holds.
+	 * Orders an engine to hold a range of layers in place of what it holds. Streams
+	 * through the layers that it gives up are cut and go on elsewhere.
 	 * @param endpoint the endpoint
 	 * @param layers the range
 	 * @param fence the fencing token
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -102,6 +102,8 @@
 
 	private static Optional<Holder> bestMove(EngineSpec engine, List<Holder> group, Coverage coverage, double share,
 			Map<String, LayerRange> orders) {
+		// The streams through a host that moves are cut, so the one with the fewest
+		// moves.
 		Holder best = null;
 		int bestGain = 0;
 		for (Holder holder : group) {
@@ -110,7 +112,8 @@
 				continue;
 			}
 			int gain = uncovered(coverage.copies(), leastCovered(coverage.copies(), size(engine, holder, share)));
-			if (gain > bestGain) {
+			boolean calmer = best != null && gain == bestGain && holder.streams() < best.streams();
+			if (gain > bestGain || calmer) {
 				best = holder;
 				bestGain = gain;
 			}
@@ -229,9 +232,10 @@
 	 * @param kind the accelerator kind
 	 * @param layers the layers that it holds or loads; empty if none
 	 * @param moving whether an order to it is not settled yet
+	 * @param streams streams that run through it
 	 */
 	public record Holder(String id, String dataCentre, AcceleratorKind kind, Optional<LayerRange> layers,
-			boolean moving) {
+			boolean moving, int streams) {
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -53,6 +53,8 @@
 
 	private final EndpointFaults faults;
 
+	private final LayerLoads loads;
+
 	private final EngineControl control;
 
 	private final DutyLease lease;
@@ -69,13 +71,15 @@
 	 * Creates the coordinator.
 	 * @param directory the endpoints
 	 * @param faults endpoints that failed recently
+	 * @param loads streams that run through the endpoints
 	 * @param control calls to engines
 	 * @param lease whether this daemon may give orders
 	 */
-	public PlacementCoordinator(EndpointDirectory directory, EndpointFaults faults, EngineControl control,
-			DutyLease lease) {
+	public PlacementCoordinator(EndpointDirectory directory, EndpointFaults faults, LayerLoads loads,
+			EngineControl control, DutyLease lease) {
 		this.directory = directory;
 		this.faults = faults;
+		this.loads = loads;
 		this.control = control;
 		this.lease = lease;
 	}
@@ -129,7 +133,8 @@
 			Pending order = this.pending.get(endpoint.id());
 			Optional<LayerRange> layers = (order != null) ? Optional.of(order.range()) : endpoint.layers();
 			byId.put(endpoint.id(), endpoint);
-			holders.add(new LayerPlanner.Holder(endpoint.id(), endpoint.dataCentre(), kind, layers, order != null));
+			holders.add(new LayerPlanner.Holder(endpoint.id(), endpoint.dataCentre(), kind, layers, order != null,
+					this.loads.of(endpoint.id()).streams()));
 		}
 		if (isStillGrowing(holders, nowNanos)) {
 			return;
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
@@ -43,6 +43,16 @@
 		assertThat(this.directory.usable("archive")).containsExactly(reborn);
 	}
 
+	@Test
+	void anEndpointAtTheAddressOfAnEarlierOneReplacesIt() {
+		this.directory.register(Samples.plain("a", 1, false));
+		this.directory.remove("a", true, 0);
+		Endpoint next = new Endpoint("b", 2, 1, "archive", new InetSocketAddress("10.0.0.1", 8_080), "a", false,
+				Optional.empty(), Optional.empty());
+		this.directory.register(next);
+		assertThat(this.directory.usable("archive")).containsExactly(next);
+	}
+
 	@Test
 	void aHeartbeatAloneIsNoChange() {
 		this.directory.register(Samples.plain("a", 1, false));
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -22,7 +22,7 @@
 	private final EngineSpec engine = Samples.engine();
 
 	private static LayerPlanner.Holder holder(String id, String dataCentre, AcceleratorKind kind, LayerRange layers) {
-		return new LayerPlanner.Holder(id, dataCentre, kind, Optional.ofNullable(layers), false);
+		return new LayerPlanner.Holder(id, dataCentre, kind, Optional.ofNullable(layers), false, 0);
 	}
 
 	private static List<LayerPlanner.Holder> fleet() {
@@ -108,7 +108,7 @@
 	@Test
 	void aCopyThatIsStillBeingLoadedDoesNotFreeAnotherHolder() {
 		List<LayerPlanner.Holder> hosts = new ArrayList<>();
-		hosts.add(new LayerPlanner.Holder("loading", "a", Samples.FAST, Optional.of(new LayerRange(0, 33)), true));
+		hosts.add(new LayerPlanner.Holder("loading", "a", Samples.FAST, Optional.of(new LayerRange(0, 33)), true, 0));
 		hosts.add(holder("holding", "a", Samples.FAST, new LayerRange(0, 33)));
 		hosts.add(holder("rest", "a", Samples.FAST, new LayerRange(33, 66)));
 		assertThat(LayerPlanner.plan(this.engine, hosts)).doesNotContainKey("holding");
@@ -116,6 +116,15 @@
 		assertThat(LayerPlanner.plan(this.engine, hosts)).hasSize(1);
 	}
 
+	@Test
+	void ofTwoHostsThatMayMoveTheOneWithFewerStreamsMoves() {
+		List<LayerPlanner.Holder> hosts = new ArrayList<>();
+		hosts.add(new LayerPlanner.Holder("busy", "a", Samples.FAST, Optional.of(new LayerRange(0, 33)), false, 30));
+		hosts.add(new LayerPlanner.Holder("calm", "a", Samples.FAST, Optional.of(new LayerRange(0, 33)), false, 2));
+		hosts.add(holder("rest", "a", Samples.FAST, new LayerRange(33, 66)));
+		assertThat(LayerPlanner.plan(this.engine, hosts)).containsOnlyKeys("calm");
+	}
+
 	@Test
 	void aHostThatComesBackEmptyTakesWhatIsHeldLeast() {
 		List<LayerPlanner.Holder> placed = new ArrayList<>(placed(fleet(), LayerPlanner.plan(this.engine, fleet())));
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
@@ -29,7 +29,7 @@
 	private final DutyLease lease = new DutyLease();
 
 	private final PlacementCoordinator coordinator = new PlacementCoordinator(this.directory, new EndpointFaults(),
-			this.orders, this.lease);
+			new LayerLoads(), this.orders, this.lease);
 
 	private final List<ServiceSpec> services = List.of(new ServiceSpec("model", 100, Optional.of(Samples.engine())));
 
