Keep a stream that has begun open until a path has room again

Ruled out: the configuration itself (a request keeps the version that admitted it) and the shutdown (no signal). Change: a send is ended early only if another path exists; a stream without one waits and looks again every 100 ms until its deadline; beyond the route's limit of endpoints it may go on only where it ran before.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -33,6 +33,18 @@
 	/** Largest number of sends of one request, refusals by endpoints included. */
 	private static final int MAX_SENDS = 5;
 
+	/**
+	 * Largest number of sends of a stream that has begun; its caller has part of the
+	 * answer.
+	 */
+	private static final int MAX_STREAM_SENDS = 12;
+
+	/**
+	 * Pause before a stream that has begun looks for a path again, in ms: a few steps of
+	 * a placement.
+	 */
+	private static final long PARK_MS = 100;
+
 	/**
 	 * Largest response of a plain service that is kept until it is complete, in bytes.
 	 */
@@ -105,6 +117,10 @@
 
 	private boolean done;
 
+	private boolean parked;
+
+	private long parkedNanos;
+
 	Exchange(Router router, CallerConnection caller, CallerConnection.Incoming incoming) {
 		this.router = router;
 		this.caller = caller;
@@ -143,6 +159,7 @@
 
 	private void dispatch() {
 		long now = System.nanoTime();
+		this.parked = false;
 		if (leftMs(now) < MIN_LEFT_MS) {
 			giveUp("no time left");
 			return;
@@ -165,7 +182,7 @@
 			return this.router.choosePlain(this.admitted.service(), this.tried, now);
 		}
 		int tokens = tokens();
-		Optional<LayerPath> found = this.router.findPath(this.admitted, tokens, this.tried, now);
+		Optional<LayerPath> found = this.router.findPath(this.admitted, tokens, this::mayBeFirst, now);
 		if (found.isEmpty()) {
 			return Optional.empty();
 		}
@@ -174,6 +191,18 @@
 		return Optional.of(this.path.first());
 	}
 
+	// Once the route's limit is reached, only endpoints that ran the request before may
+	// run it again.
+	private boolean mayBeFirst(Endpoint first) {
+		return !this.tried.contains(first.id()) && (hasRunsLeft() || this.ran.contains(first.id()));
+	}
+
+	// Endpoints that ended since do not count against the route's limit.
+	private boolean hasRunsLeft() {
+		long counted = this.ran.stream().filter((id) -> !this.router.hasEnded(id)).count();
+		return counted < this.admitted.route().maxAttempts();
+	}
+
 	// Returns the tokens that the stream will hold at its end.
 	private int tokens() {
 		int answer = (this.facts.likelyAnswerTokens() > 0) ? this.facts.likelyAnswerTokens()
@@ -372,7 +401,8 @@
 			return;
 		}
 		if (this.headSent) {
-			breakOff("resumed stream failed with status " + status);
+			settle(-1);
+			park();
 			return;
 		}
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.replyHead.status(),
@@ -392,7 +422,7 @@
 		if (!other) {
 			this.tried.add(refusing);
 		}
-		if (this.sends < MAX_SENDS && this.router.tryRetry(this.admitted.service(), now)) {
+		if (this.sends < maxSends() && this.router.tryRetry(this.admitted.service(), now)) {
 			settle(-1);
 			dispatch();
 			return;
@@ -402,14 +432,16 @@
 				this.router.capacityRetryMs());
 	}
 
-	// Endpoints that ended since do not count against the route's limit.
 	private boolean mayRunOnceMore() {
 		this.ran.add(this.endpoint.id());
-		long counted = this.ran.stream().filter((id) -> !this.router.hasEnded(id)).count();
-		return counted < this.admitted.route().maxAttempts() && this.sends < MAX_SENDS
+		return (hasRunsLeft() || this.headSent) && this.sends < maxSends()
 				&& this.router.tryRetry(this.admitted.service(), System.nanoTime());
 	}
 
+	private int maxSends() {
+		return (this.headSent) ? MAX_STREAM_SENDS : MAX_SENDS;
+	}
+
 	// Ends the current send and dispatches the request to another endpoint.
 	private void next(long now, double tookMs, String why) {
 		this.router.onMoved(id(), this.endpoint.id(), why);
@@ -446,20 +478,52 @@
 			return;
 		}
 		settle(-1);
+		if (this.headSent && this.admitted.route().mayRunAgain() && this.sends < maxSends()) {
+			park();
+			return;
+		}
 		fail("endpoint " + name + " broke off: " + cause);
 	}
 
-	// Ends the send because a part of its path stopped, and goes on elsewhere.
+	// Ends the send because a part of its path stopped, if it can go on elsewhere.
+	// Silence alone is no reason to end
+	// an answer, since the endpoint may still go on.
 	void abandonSend(BreakCause cause) {
-		if (!this.done && this.connection != null) {
+		if (this.done || this.connection == null || !this.admitted.route().mayRunAgain()) {
+			return;
+		}
+		long now = System.nanoTime();
+		boolean room = this.sends < maxSends() && this.router.hasRetryLeft(this.admitted.service(), now);
+		if (room && hasAlternative(now)) {
 			this.connection.abort();
 			onBroken(cause);
 		}
 	}
 
+	private boolean hasAlternative(long now) {
+		String current = this.endpoint.id();
+		this.ran.add(current);
+		if (this.path == null) {
+			Set<String> used = new HashSet<>(this.tried);
+			used.add(current);
+			return hasRunsLeft() && this.router.choosePlain(this.admitted.service(), used, now).isPresent();
+		}
+		return this.router
+			.findPath(this.admitted, this.reservedTokens, (first) -> !first.id().equals(current) && mayBeFirst(first),
+					now)
+			.isPresent();
+	}
+
+	// Keeps a stream that has begun open until a path over all layers has room again.
+	private void park() {
+		this.parked = true;
+		this.parkedNanos = System.nanoTime();
+		this.tried.clear();
+	}
+
 	private void refuse(String message, String why, long retryAfterMs) {
 		if (this.headSent) {
-			breakOff(why);
+			park();
 		}
 		else if (this.mayHaveRun) {
 			fail(why);
@@ -525,13 +589,20 @@
 
 	// Watches deadlines and streams without progress.
 	void tick(long nowNanos) {
-		if (this.done || this.endpoint == null) {
+		if (this.done || (this.endpoint == null && !this.parked)) {
 			return;
 		}
 		if (leftMs(nowNanos) <= 0) {
 			giveUp("deadline");
 			return;
 		}
+		if (this.parked) {
+			boolean due = nowNanos - this.parkedNanos >= TimeUnit.MILLISECONDS.toNanos(PARK_MS);
+			if (due && this.router.tryRetry(this.admitted.service(), nowNanos)) {
+				dispatch();
+			}
+			return;
+		}
 		long quietMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.progressNanos);
 		Route route = this.admitted.route();
 		if (this.path != null) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -396,10 +397,10 @@
 		return this.plain.choose(this.directory.usable(service), tried, this.settings.dataCentre(), nowNanos);
 	}
 
-	Optional<LayerPath> findPath(Admitted admitted, int tokens, Collection<String> triedFirst, long nowNanos) {
+	Optional<LayerPath> findPath(Admitted admitted, int tokens, Predicate<Endpoint> allowedFirst, long nowNanos) {
 		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.paces);
-		return finder.find(holders(admitted.service(), nowNanos), this.settings.dataCentre(), tokens,
-				(first) -> !triedFirst.contains(first.id()), nowNanos);
+		return finder.find(holders(admitted.service(), nowNanos), this.settings.dataCentre(), tokens, allowedFirst,
+				nowNanos);
 	}
 
 	private List<Endpoint> holders(String service, long nowNanos) {
@@ -436,6 +437,10 @@
 		return CAPACITY_RETRY_MS + (long) (this.random.nextDouble() * CAPACITY_RETRY_MS);
 	}
 
+	boolean hasRetryLeft(String service, long nowNanos) {
+		return this.budget.hasLeft(service, nowNanos);
+	}
+
 	boolean tryRetry(String service, long nowNanos) {
 		return this.budget.tryTake(service, nowNanos);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/retry/RetryBudget.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/retry/RetryBudget.java
@@ -77,16 +77,26 @@
 	 * @return whether the retry may be sent
 	 */
 	public boolean tryTake(String service, long nowNanos) {
-		Window window = window(service);
-		window.expire(nowNanos - this.windowNanos);
-		double allowed = this.ratio * window.requests.size() + SAFE_SHARE * this.constant / this.daemons;
-		if (window.retries.size() + 1 > allowed) {
+		if (!hasLeft(service, nowNanos)) {
 			return false;
 		}
-		window.retries.add(nowNanos);
+		window(service).retries.add(nowNanos);
 		return true;
 	}
 
+	/**
+	 * Tells whether the budget allows one more retry.
+	 * @param service the service
+	 * @param nowNanos the current time in ns
+	 * @return whether {@link #tryTake} would take one
+	 */
+	public boolean hasLeft(String service, long nowNanos) {
+		Window window = window(service);
+		window.expire(nowNanos - this.windowNanos);
+		double allowed = this.ratio * window.requests.size() + SAFE_SHARE * this.constant / this.daemons;
+		return window.retries.size() + 1 <= allowed;
+	}
+
 	private Window window(String service) {
 		return this.windows.computeIfAbsent(service, (name) -> new Window());
 	}
