--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -3,7 +3,8 @@
 import java.util.logging.Level;
 
 /**
- * Numbered log events of the entry daemon. The catalogue is in {@code docs/events.md}.
+ * Numbered log events of the entry daemon. The catalogue is in
+ * {@code docs/entry-events.md}.
  */
 public enum EntryEvent {
 
