Do not count a failure long after another one as one that lasts

Cause, found by reading: engines in the middle of a path never recorded a success, so a second failure minutes later was avoided for twice as long and had its layers placed elsewhere at once; a new incarnation kept the old one's failures. Change: streams that end well clear the failures of all parts; a failure 3 s after a pause ended is a new one.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -250,6 +250,12 @@
 	private void register(KeyedRecord keyed, byte[] value) {
 		try {
 			Endpoint endpoint = this.ports.decoder().endpoint(keyed.key(), value);
+			boolean reborn = this.directory.find(endpoint.id())
+				.filter((old) -> old.bornMs() < endpoint.bornMs())
+				.isPresent();
+			if (reborn) {
+				this.router.faults().forget(endpoint.id());
+			}
 			if (this.directory.register(endpoint)) {
 				EntryLog.write(EntryEvent.ENDPOINT_CHANGED, endpoint.id(), "address", endpoint.address(), "draining",
 						endpoint.draining(), "layers", endpoint.layers(), "offset", keyed.offset());
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -32,6 +32,12 @@
 	/** Weight of the newest result in the failure rate. */
 	private static final double RATE_WEIGHT = 0.15;
 
+	/**
+	 * Time after a pause has ended from which a failure counts as a new one, in ns; above
+	 * a heartbeat and a retry.
+	 */
+	private static final long SEPARATE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private final Map<String, Fault> faults = new HashMap<>();
 
 	private final Set<String> down = new HashSet<>();
@@ -44,7 +50,7 @@
 	 * @param nowNanos the current time in ns
 	 */
 	public void onUnreachable(String id, long nowNanos) {
-		Fault old = this.faults.get(id);
+		Fault old = recent(id, nowNanos);
 		if (old != null && nowNanos - old.untilNanos() < 0) {
 			return;
 		}
@@ -53,6 +59,21 @@
 		this.faults.put(id, new Fault(nowNanos + backoff, backoff, true, since));
 	}
 
+	// Returns the last failure if the next one continues it.
+	private Fault recent(String id, long nowNanos) {
+		Fault fault = this.faults.get(id);
+		return (fault != null && nowNanos - fault.untilNanos() < SEPARATE_NANOS) ? fault : null;
+	}
+
+	/**
+	 * Records that a stream through an endpoint ended well.
+	 * @param id the endpoint
+	 */
+	public void onWorking(String id) {
+		this.faults.remove(id);
+		this.down.remove(id);
+	}
+
 	/**
 	 * Records that an endpoint refuses connections, so that its process has ended.
 	 * @param id the endpoint
@@ -79,7 +100,7 @@
 	 */
 	public void onReported(String id, long nowNanos) {
 		if (!isAvoided(id, nowNanos)) {
-			Fault old = this.faults.get(id);
+			Fault old = recent(id, nowNanos);
 			long since = (old != null) ? old.sinceNanos() : nowNanos;
 			this.faults.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, since));
 		}
@@ -107,8 +128,7 @@
 	 */
 	public void onResponse(String id, boolean failed) {
 		if (!failed) {
-			this.faults.remove(id);
-			this.down.remove(id);
+			onWorking(id);
 		}
 		this.failureRate.merge(id, (failed) ? RATE_WEIGHT : 0.0, (old, fresh) -> old * (1 - RATE_WEIGHT) + fresh);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -375,6 +375,8 @@
 			return;
 		}
 		this.router.faults().onResponse(this.endpoint.id(), false);
+		path()
+			.ifPresent((used) -> used.parts().forEach((part) -> this.router.faults().onWorking(part.endpoint().id())));
 		relayHead();
 		finish(Outcome.SERVED, "stream");
 		this.caller.endStream();
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -83,6 +83,23 @@
 		assertThat(this.faults.isLost("a", TimeUnit.MILLISECONDS.toNanos(1_600))).isTrue();
 	}
 
+	@Test
+	void aFailureLongAfterAnotherOneDoesNotCountAsOneThatLasts() {
+		this.faults.onUnreachable("a", 0);
+		this.faults.onUnreachable("a", TimeUnit.SECONDS.toNanos(20));
+		assertThat(this.faults.isAvoided("a", TimeUnit.SECONDS.toNanos(20) + 1)).isTrue();
+		assertThat(this.faults.isLost("a", TimeUnit.SECONDS.toNanos(20) + 1)).isFalse();
+	}
+
+	@Test
+	void anEngineWhoseStreamsEndWellHasNoFailuresLeft() {
+		this.faults.onDown("a", 0);
+		assertThat(this.faults.isDown("a")).isTrue();
+		this.faults.onWorking("a");
+		assertThat(this.faults.isDown("a")).isFalse();
+		assertThat(this.faults.isAvoided("a", 1)).isFalse();
+	}
+
 	@Test
 	void whatAnotherDaemonReportedIsNotPassedOn() {
 		this.faults.onReported("a", 0);
