Take no request 3 s after the stop signal

What is taken that late must be finished. Ruled out: the store's outage (over since 21.1 s) and the frozen host (another one). Change: 2.5 s, as a decision of its own (ShutdownPhase); the balancer needs 2 s at most.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -60,17 +60,6 @@
 	 */
 	private static final long ENDPOINTS_PACE_MS = 700;
 
-	/**
-	 * Time after the stop signal in which new connections are still served, in ms: the
-	 * balancer asks once a second.
-	 */
-	private static final long ACCEPT_AFTER_STOP_MS = 3_000;
-
-	/**
-	 * Time before the end of the grace period at which open requests are given up, in ms.
-	 */
-	private static final long GRACE_MARGIN_MS = 400;
-
 	private final EventLoop loop;
 
 	private EntrySettings settings;
@@ -305,13 +294,14 @@
 
 	private void continueStop() {
 		long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.stopNanos);
-		if (sinceMs < ACCEPT_AFTER_STOP_MS) {
+		ShutdownPhase phase = ShutdownPhase.at(sinceMs, this.settings.graceMs());
+		if (phase == ShutdownPhase.ACCEPTING) {
 			return;
 		}
 		this.callerListener.close();
 		this.router.closeIdleCallers();
 		boolean idle = !this.router.isBusy() && this.router.callerCount() == 0;
-		if (idle || sinceMs >= this.settings.graceMs() - GRACE_MARGIN_MS) {
+		if (idle || phase == ShutdownPhase.OVER) {
 			EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
 			this.exit.run();
 		}
