--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -30,8 +30,6 @@
 
 	private boolean confirmed;
 
-	private long failureNanos;
-
 	private boolean failing;
 
 	private long recoveredNanos;
@@ -54,10 +52,7 @@
 			restartSnapshot();
 			return Step.NOTHING;
 		}
-		if (!this.failing) {
-			this.failing = true;
-			this.failureNanos = nowNanos;
-		}
+		this.failing = true;
 		return Step.NOTHING;
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -1,7 +1,6 @@
 package org.comfreyslip.entry.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -154,14 +153,6 @@
 		return Optional.ofNullable(this.lapsed.get(id)).map(Lapsed::endpoint);
 	}
 
-	/**
-	 * Returns all registrations, also of endpoints that are leaving.
-	 * @return the registrations
-	 */
-	public Collection<Endpoint> all() {
-		return this.registered.values();
-	}
-
 	/**
 	 * Returns a number that increases whenever the usable endpoints change.
 	 * @return the number
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -112,8 +112,8 @@
 				continue;
 			}
 			int gain = uncovered(coverage.copies(), leastCovered(coverage.copies(), size(engine, holder, share)));
-			boolean calmer = best != null && gain == bestGain && holder.streams() < best.streams();
-			if (gain > bestGain || calmer) {
+			boolean fewerStreams = best != null && gain == bestGain && holder.streams() < best.streams();
+			if (gain > bestGain || fewerStreams) {
 				best = holder;
 				bestGain = gain;
 			}
