--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -128,6 +128,13 @@
 	public void start() {
 		ChannelFuture callers = Listeners.callers(this.loop, this.settings.callers(), this.router);
 		this.callerListener = callers.channel();
+		callers.addListener((bound) -> {
+			if (!bound.isSuccess()) {
+				EntryLog.write(EntryEvent.TASK_FAILED, "callers", "address", this.settings.callers(), "cause",
+						bound.cause());
+				this.exit.run();
+			}
+		});
 		Listeners.readiness(this.loop, this.settings.readiness(), this::isReady);
 		Listeners.metrics(this.loop, this.settings.metrics(), this.router.metrics()).addListener((bound) -> {
 			if (!bound.isSuccess()) {
@@ -206,7 +213,7 @@
 			this.ports.decoder().configuration(keyed.key(), value).ifPresent(this::configure);
 		}
 		catch (UnreadableRecordException ex) {
-			EntryLog.write(EntryEvent.RECORD_UNREADABLE, keyed.key(), "offset", keyed.offset(), "why", ex.getMessage());
+			skip(keyed, ex);
 		}
 	}
 
@@ -236,6 +243,10 @@
 		step.onlyKeys().ifPresent((keys) -> this.directory.retainOnly(keys, nearOutage, now));
 	}
 
+	private static void skip(KeyedRecord keyed, UnreadableRecordException cause) {
+		EntryLog.write(EntryEvent.RECORD_UNREADABLE, keyed.key(), "offset", keyed.offset(), "why", cause.getMessage());
+	}
+
 	private void register(KeyedRecord keyed, byte[] value) {
 		try {
 			Endpoint endpoint = this.ports.decoder().endpoint(keyed.key(), value);
@@ -251,7 +262,7 @@
 			}
 		}
 		catch (UnreadableRecordException ex) {
-			EntryLog.write(EntryEvent.RECORD_UNREADABLE, keyed.key(), "offset", keyed.offset(), "why", ex.getMessage());
+			skip(keyed, ex);
 		}
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -97,12 +97,22 @@
 		KeyedFeed.Step step = this.feed.onOutcome(outcome, sentNanos, now);
 		logDependency(outcome, wasFailing, age);
 		if (!step.records().isEmpty() || step.onlyKeys().isPresent()) {
-			this.apply.accept(step);
+			apply(step);
 		}
 		this.ready |= !this.feed.isSnapshotting();
 		this.loop.schedule(this::start, pause(outcome, step), TimeUnit.MILLISECONDS);
 	}
 
+	// A record that cannot be applied must not end the reading.
+	private void apply(KeyedFeed.Step step) {
+		try {
+			this.apply.accept(step);
+		}
+		catch (RuntimeException ex) {
+			EntryLog.write(EntryEvent.TASK_FAILED, this.topic, "why", "records cannot be applied", "cause", ex);
+		}
+	}
+
 	private long pause(Outcome outcome, KeyedFeed.Step step) {
 		if (!(outcome instanceof Outcome.Page)) {
 			long pause = this.pauseMs;
