--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -253,7 +253,10 @@
 
 	/** Ends a streamed response as complete. */
 	void endStream() {
-		if (this.closeAfterReply) {
+		// A stream that began before the stop signal did not announce the end of its
+		// connection; a further request on
+		// it would be taken too late to be finished.
+		if (this.closeAfterReply || (this.router.isStopping() && this.queue.isEmpty())) {
 			this.closing = true;
 			this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((done) -> closeGently());
 		}
