Draw each test port once in a process

Ports are drawn at random from 10,000, tested and left free until the process binds; a deployment draws some 24, so that the same port is drawn twice in about 3% of the deployments. Concluded from reading; the log does not name the other owner. Ruled out: ports of outgoing connections (above 32768) and other tests (they draw from 21000 on or did not run). Tests stay as strict.

--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -49,6 +50,12 @@
 
 	private static final int PORTS = 10_000;
 
+	/**
+	 * Ports that were drawn before in this process. A port stays free until its process
+	 * binds it, so that without them two processes could draw the same one.
+	 */
+	private static final Set<Integer> DRAWN_PORTS = ConcurrentHashMap.newKeySet();
+
 	private static final int PORT_ATTEMPTS = 100;
 
 	private static final int LIMIT_MILLIS = 5_000;
@@ -275,6 +282,9 @@
 	private static int freePort() {
 		for (int i = 0; i < PORT_ATTEMPTS; i++) {
 			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+			if (!DRAWN_PORTS.add(port)) {
+				continue;
+			}
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(IP))) {
 				return socket.getLocalPort();
 			}
