Refuse requests of ambiguous length on the product's own listeners

Cause: Netty emits only the head of a request whose Content-Length fields differ, and Jooby waits for its body; a length beside chunked is resolved by dropping the length. Error responses ignored Connection: close, because Jooby writes them as persistent whatever the request asked for.

Ruled out: hooks of Jooby 3.0.9 (it builds the pipeline itself and calls no route before the body is complete) and a subclass of its server (private). Netty's own extension point is called for each accepted connection; there the codec is replaced by one with the entry module's strict decoder, a head that cannot be decoded by a whole failed request, and Netty's keep-alive handler closes where the request asked for it.

After: all 62 of BadInputTests pass, and a daemon process refuses such a request too (WholePathTests). The first line may now be 8,192 bytes long instead of 4,096.

--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
@@ -1,5 +1,7 @@
 package org.comfreyslip.acceptance;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
@@ -19,6 +21,9 @@
  */
 class WholePathTests {
 
+	/** Longest wait for a response and the end of its connection, in ms. */
+	private static final int SOCKET_LIMIT_MILLIS = 20_000;
+
 	private static Deployment deployment;
 
 	private static Caller caller;
@@ -79,6 +84,20 @@
 		assertThat(new String(record.body(), StandardCharsets.UTF_8)).contains("planned", "answered with 4 tokens");
 	}
 
+	@Test
+	void aRequestWithTwoLengthsIsRefusedByTheDaemonProcess() throws IOException {
+		String address = deployment.address("daemon-1");
+		int colon = address.lastIndexOf(':');
+		try (Socket socket = new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+			socket.setSoTimeout(SOCKET_LIMIT_MILLIS);
+			socket.getOutputStream()
+				.write("POST /v1/completions HTTP/1.1\r\nHost: d\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(response).startsWith("HTTP/1.1 400").contains("BAD_REQUEST");
+		}
+	}
+
 	private static long recordsWith(String key) {
 		return records().split(key, -1).length - 1;
 	}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.comfreyslip.daemon.claim.ProtectedCallService;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
+import org.comfreyslip.daemon.listener.StrictListenerExtension;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
@@ -36,11 +37,6 @@
 	 */
 	private static final int MAX_REQUEST_BYTES = 8 * 1024 * 1024;
 
-	/** Netty's defaults, which Jooby 3.0.9 does not let change. */
-	private static final int MAX_HEADER_BYTES = 8_192;
-
-	private static final int MAX_FIRST_LINE_BYTES = 4_096;
-
 	private static final int IO_THREADS = 2;
 
 	private final Jooby app = new ListenerApp();
@@ -105,8 +101,8 @@
 
 	private static Context refuseMalformed(Context context) {
 		CodedException error = new CallBoundary().notRun(ErrorCode.BAD_REQUEST,
-				"the request is not valid HTTP/1.1 or has a header section over " + MAX_HEADER_BYTES
-						+ " bytes or a first line over " + MAX_FIRST_LINE_BYTES + " bytes",
+				"the request is not valid HTTP/1.1, its length is ambiguous, or its first line or header section is over "
+						+ StrictListenerExtension.MAX_HEADER_BYTES + " bytes",
 				-1);
 		// Netty discards whatever follows on this connection, so it cannot be used again.
 		context.setResponseHeader("Connection", "close");
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/listener/StrictServerCodec.java
@@ -0,0 +1,60 @@
+package org.comfreyslip.daemon.listener;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.comfreyslip.entry.http.StrictRequestDecoder;
+
+/**
+ * Netty's server codec with a decoder that refuses ambiguous lengths. Netty's own codec
+ * is final and takes no decoder.
+ */
+final class StrictServerCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+
+	/** Methods of the requests that have no response yet, in the order of arrival. */
+	private final Queue<HttpMethod> methods = new ArrayDeque<>();
+
+	StrictServerCodec(int maxHeaderBytes) {
+		init(new Decoder(maxHeaderBytes), new Encoder());
+	}
+
+	private final class Decoder extends StrictRequestDecoder {
+
+		Decoder(int maxHeaderBytes) {
+			super(maxHeaderBytes);
+		}
+
+		@Override
+		protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+			int before = out.size();
+			super.decode(ctx, buffer, out);
+			for (Object message : out.subList(before, out.size())) {
+				if (message instanceof HttpRequest request) {
+					StrictServerCodec.this.methods.add(request.method());
+				}
+			}
+		}
+
+	}
+
+	private final class Encoder extends HttpResponseEncoder {
+
+		@Override
+		protected boolean isContentAlwaysEmpty(HttpResponse response) {
+			// Interim responses leave the request waiting.
+			HttpMethod method = (response.status().code() / 100 == 1) ? null : StrictServerCodec.this.methods.poll();
+			return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(response);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/listener/UndecodableRequestHandler.java
@@ -0,0 +1,35 @@
+package org.comfreyslip.daemon.listener;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Replaces a request that cannot be decoded by one without headers and body that carries
+ * the failure. Netty emits only the head of a request whose lengths contradict each
+ * other, and Jooby would wait for the body forever.
+ */
+final class UndecodableRequestHandler extends ChannelInboundHandlerAdapter {
+
+	/** Path that no route has, as Netty names it for requests without a first line. */
+	private static final String NO_ROUTE = "/bad-request";
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (!(message instanceof HttpRequest request) || request.decoderResult().isSuccess()) {
+			ctx.fireChannelRead(message);
+			return;
+		}
+		DefaultFullHttpRequest replacement = new DefaultFullHttpRequest(HttpVersion.HTTP_1_0, HttpMethod.GET, NO_ROUTE,
+				Unpooled.EMPTY_BUFFER);
+		replacement.setDecoderResult(request.decoderResult());
+		ReferenceCountUtil.release(message);
+		ctx.fireChannelRead(replacement);
+	}
+
+}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/tls/ListenerApp.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/tls/ListenerApp.java
@@ -6,6 +6,7 @@
 import io.jooby.Jooby;
 import io.netty.handler.ssl.NotSslRecordException;
 import org.comfreyslip.daemon.DaemonEvent;
+import org.comfreyslip.daemon.listener.StrictListenerExtension;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,6 +17,10 @@
  */
 public final class ListenerApp extends Jooby {
 
+	static {
+		StrictListenerExtension.enable();
+	}
+
 	private Logger log;
 
 	@Override
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
@@ -140,6 +140,14 @@
 		return sum + load.path("queued").asInt(-1) + load.path("running").asInt(-1);
 	}
 
+	/**
+	 * Returns how many stamps the service has recorded.
+	 * @return the number of stamps
+	 */
+	public int stampCount() {
+		return json(this.service.address(), "/records").path("records").size();
+	}
+
 	/**
 	 * Waits until nothing is open.
 	 */
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/http/BadInputTests.java
@@ -123,6 +123,43 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5\r\nTransfer-Encoding: chunked",
+					"Transfer-Encoding: chunked\r\nContent-Length: 5", "Transfer-Encoding: gzip, chunked" })
+	void aRequestWhoseLengthIsAmbiguousIsRefusedAndItsConnectionCloses(String lengths) {
+		long before = deployment.stampCount();
+		try (RawCaller caller = new RawCaller(deployment.callers())) {
+			caller
+				.send("POST " + STAMPS + " HTTP/1.1\r\nHost: daemon\r\nAuthorization: Bearer " + InProcessDeployment.KEY
+						+ "\r\n" + lengths + "\r\n\r\n0\r\n\r\n" + RawCaller.head("POST", STAMPS, 0));
+			assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 400").contains("BAD_REQUEST");
+			assertThat(caller.readUntil("}}")).as("the connection is closed").isEmpty();
+		}
+		assertThat(deployment.stampCount()).isEqualTo(before);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /no/such/path", "GET /services/none/x", "GET " + COMPLETIONS })
+	void aRefusedRequestThatAsksForItClosesItsConnection(String request) {
+		try (RawCaller caller = new RawCaller(deployment.callers())) {
+			String[] parts = request.split(" ");
+			caller.send(RawCaller.head(parts[0], parts[1], 0, "Connection: close"));
+			assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 40").containsIgnoringCase("connection: close");
+			assertThat(caller.readUntil("}}")).as("the connection is closed").isEmpty();
+		}
+	}
+
+	@Test
+	void aRefusedRequestKeepsItsConnectionUnlessItAsksToCloseIt() {
+		try (RawCaller caller = new RawCaller(deployment.callers())) {
+			caller.send(RawCaller.head("GET", "/no/such/path", 0));
+			assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 404");
+			caller.send(RawCaller.head("GET", "/services/none/x", 0));
+			assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 404");
+		}
+	}
+
 	@Test
 	void anUnknownPathGetsATypedError() {
 		assertRefused(get("/no/such/path", CREDENTIAL), 404, "NOT_FOUND");
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/StrictRequestDecoder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/StrictRequestDecoder.java
@@ -13,11 +13,16 @@
  * Decodes requests and refuses those whose body length is ambiguous, which could carry a
  * second request past the daemon.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+public class StrictRequestDecoder extends HttpRequestDecoder {
 
 	private static final int MAX_CHUNK = 65_536;
 
-	StrictRequestDecoder(int maxHeaderBytes) {
+	/**
+	 * Creates a decoder.
+	 * @param maxHeaderBytes largest first line, and largest sum of the header lines, in
+	 * bytes
+	 */
+	public StrictRequestDecoder(int maxHeaderBytes) {
 		super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes)
 			.setMaxHeaderSize(maxHeaderBytes)
 			.setMaxChunkSize(MAX_CHUNK));
