--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -279,7 +279,7 @@
 		}
 	}
 
-	private static int freePort() {
+	static int freePort() {
 		for (int i = 0; i < PORT_ATTEMPTS; i++) {
 			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
 			if (!DRAWN_PORTS.add(port)) {
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/WholePathTests.java
@@ -9,7 +9,6 @@
 import org.comfreyslip.clients.HttpReply;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -54,7 +53,6 @@
 		assertThat(Caller.textOfStream(reply)).isEqualTo(caller.expected(deployment, prompt, 40));
 	}
 
-	@Tag("known-red")
 	@Test
 	void aStampIsRecordedOnceEvenIfTheCallerRepeatsItAtAnotherDaemon() {
 		String key = Caller.newKey();
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/admin/AdminServer.java
@@ -25,6 +25,7 @@
 import org.comfreyslip.daemon.config.ConfigInForce;
 import org.comfreyslip.daemon.journal.RequestJournal;
 import org.comfreyslip.daemon.journal.RequestSearch;
+import org.comfreyslip.daemon.listener.ListenerStart;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.tls.ListenerApp;
 import org.comfreyslip.daemon.tls.ListenerTls;
@@ -67,7 +68,7 @@
 		this.app.error(AdminServer::onError);
 		addRoutes();
 		this.server.setOptions(options);
-		this.server.start(this.app);
+		ListenerStart.start(this.server, this.app, listen, "admin-listen");
 	}
 
 	/**
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.comfreyslip.daemon.claim.ProtectedCallService;
 import org.comfreyslip.daemon.config.ConfigHolder;
 import org.comfreyslip.daemon.journal.RequestJournal;
+import org.comfreyslip.daemon.listener.ListenerStart;
 import org.comfreyslip.daemon.listener.StrictListenerExtension;
 import org.comfreyslip.daemon.route.RoutingTables;
 import org.comfreyslip.daemon.tls.ListenerApp;
@@ -64,7 +65,7 @@
 		this.app.error(CallerServer::onError);
 		addRoutes(parts);
 		this.server.setOptions(options);
-		this.server.start(this.app);
+		ListenerStart.start(this.server, this.app, listen, "http-listen");
 	}
 
 	/**
--- /dev/null
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/listener/ListenerStart.java
@@ -0,0 +1,33 @@
+package org.comfreyslip.daemon.listener;
+
+import io.jooby.Jooby;
+import io.jooby.netty.NettyServer;
+
+/**
+ * Starts Jooby's servers. Jooby throws checked exceptions that it does not declare.
+ */
+public final class ListenerStart {
+
+	private ListenerStart() {
+	}
+
+	/**
+	 * Starts a server.
+	 * @param server the server, with its options
+	 * @param app what it serves
+	 * @param listen where it listens, as ip:port
+	 * @param setting the setting that says where to listen, for the error
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public static void start(NettyServer server, Jooby app, String listen, String setting) {
+		try {
+			server.start(app);
+		}
+		catch (Exception ex) {
+			server.stop();
+			throw new IllegalStateException("cannot listen at " + listen + ": " + ex.getMessage()
+					+ "; end the process that uses the address or change " + setting, ex);
+		}
+	}
+
+}
--- a/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/listener/StrictListenerExtension.java
+++ b/comfreyslip-daemon/src/main/java/org/comfreyslip/daemon/listener/StrictListenerExtension.java
@@ -4,13 +4,15 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 
 /**
- * Makes Jooby's listeners refuse requests of ambiguous length and honour
- * {@code Connection: close} in each response. Jooby builds its pipeline itself; Netty
- * loads this class as a service and calls it for each accepted connection.
+ * Makes Jooby's listeners take their port alone, refuse requests of ambiguous length and
+ * honour {@code Connection: close} in each response. Jooby builds its pipeline itself;
+ * Netty loads this class as a service and calls it for each accepted connection.
  */
 public final class StrictListenerExtension extends ChannelInitializerExtension {
 
@@ -30,6 +32,15 @@
 		System.setProperty(EXTENSIONS_SYSTEM_PROPERTY, LOADED);
 	}
 
+	// Jooby's native transport sets SO_REUSEPORT. A second daemon with the same address
+	// would start and get a part of the connections.
+	@Override
+	public void postInitializeServerListenerChannel(ServerChannel listener) {
+		if (listener instanceof EpollServerSocketChannel epoll) {
+			epoll.config().setReusePort(false);
+		}
+	}
+
 	@Override
 	public void postInitializeServerChildChannel(Channel child) {
 		// Runs behind Jooby's own initializer, which was added before.
--- a/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinMain.java
+++ b/comfreyslip-standins/src/main/java/org/comfreyslip/standins/StandinMain.java
@@ -20,6 +20,15 @@
 
 	private static final int USAGE = 2;
 
+	private static final int FAILED_START = 1;
+
+	/**
+	 * Netty's switch to the JDK's transport. Jooby's native one lets several processes
+	 * listen at one address (SO_REUSEPORT), so two stand-ins that drew the same free port
+	 * would both start and share the connections.
+	 */
+	private static final String NO_NATIVE_TRANSPORT = "io.netty.transport.noNative";
+
 	private StandinMain() {
 	}
 
@@ -29,6 +38,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public static void main(String[] arguments) throws InterruptedException {
+		System.setProperty(NO_NATIVE_TRANSPORT, "true");
 		PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
 		try {
 			if (run(List.of(arguments), out).isEmpty()) {
@@ -39,6 +49,10 @@
 			System.err.println(ex.getMessage());
 			System.exit(USAGE);
 		}
+		catch (IllegalStateException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(FAILED_START);
+		}
 		new CountDownLatch(1).await();
 	}
 
