Move slow spare copies, not the fastest holder, onto lost layers

The planner chose the move with the most layers gained, which were the two fastest hosts of their data centres: they held the first layers of nearly all streams, so all streams broke and three seconds later went on over hosts five times slower, while the host with the only other fast copy was down.

Change: a move is chosen by how much slower the layers given up run on their other holders, then by streams, then by layers gained.

Ruled out: detection (streams moved 0.5 s after the first crash) and the load time (2 to 2.7 s for the moved ranges, less for the smaller ones now).

Test: LayerPlannerTests.theFastestHolderOfARangeStaysAndSlowerCopiesMove, which failed before.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -100,25 +100,42 @@
 		}
 	}
 
+	// The fastest holder of a range carries most streams, so its move costs them twice:
+	// they break, and go on over slower hosts.
 	private static Optional<Holder> bestMove(EngineSpec engine, List<Holder> group, Coverage coverage, double share,
 			Map<String, LayerRange> orders) {
-		// The streams through a host that moves are cut, so the one with the fewest
-		// moves.
-		Holder best = null;
-		int bestGain = 0;
-		for (Holder holder : group) {
-			boolean fixed = holder.layers().isEmpty() || holder.moving() || orders.containsKey(holder.id());
-			if (fixed || !isRedundant(coverage.loaded(), holder.layers().get())) {
+		List<Holder> settled = group.stream()
+			.filter((holder) -> holder.layers().isPresent() && !holder.moving() && !orders.containsKey(holder.id()))
+			.toList();
+		Move best = null;
+		for (Holder holder : settled) {
+			if (!isRedundant(coverage.loaded(), holder.layers().get())) {
 				continue;
 			}
 			int gain = uncovered(coverage.copies(), leastCovered(coverage.copies(), size(engine, holder, share)));
-			boolean fewerStreams = best != null && gain == bestGain && holder.streams() < best.streams();
-			if (gain > bestGain || fewerStreams) {
-				best = holder;
-				bestGain = gain;
+			Move move = new Move(holder, slowdown(holder, settled), gain);
+			if (gain > 0 && (best == null || move.compareTo(best) < 0)) {
+				best = move;
+			}
+		}
+		return Optional.ofNullable(best).map(Move::holder);
+	}
+
+	// Returns how much slower the layers of a holder run on the others, in units of the
+	// step factor.
+	private static double slowdown(Holder holder, List<Holder> settled) {
+		double sum = 0;
+		LayerRange range = holder.layers().orElseThrow();
+		for (int layer = range.from(); layer < range.to(); layer++) {
+			double fastest = Double.MAX_VALUE;
+			for (Holder other : settled) {
+				if (other != holder && other.layers().orElseThrow().holds(layer)) {
+					fastest = Math.min(fastest, other.kind().stepFactor());
+				}
 			}
+			sum += Math.max(0, fastest - holder.kind().stepFactor());
 		}
-		return Optional.ofNullable(best);
+		return sum;
 	}
 
 	private static boolean isRedundant(int[] copies, LayerRange range) {
@@ -224,6 +241,28 @@
 	private record Coverage(int[] copies, int[] loaded) {
 	}
 
+	/**
+	 * A holder that may give up its layers. The natural order begins with the move that
+	 * harms streams least.
+	 *
+	 * @param holder the holder
+	 * @param slowdown how much slower its layers run on the others, in units of the step
+	 * factor
+	 * @param gain layers without a holder that it would take
+	 */
+	private record Move(Holder holder, double slowdown, int gain) implements Comparable<Move> {
+
+		@Override
+		public int compareTo(Move other) {
+			return Comparator.comparingDouble(Move::slowdown)
+				.thenComparingInt((move) -> move.holder().streams())
+				.thenComparingInt((move) -> -move.gain())
+				.thenComparing((move) -> move.holder().id())
+				.compare(this, other);
+		}
+
+	}
+
 	/**
 	 * A host that holds or may hold layers.
 	 *
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -125,6 +125,21 @@
 		assertThat(LayerPlanner.plan(this.engine, hosts)).containsOnlyKeys("calm");
 	}
 
+	// Replays the retirement of two hosts at peak load, where the fastest hosts moved and
+	// all streams lost their first part.
+	@Test
+	void theFastestHolderOfARangeStaysAndSlowerCopiesMove() {
+		List<LayerPlanner.Holder> placed = placed(fleet(), LayerPlanner.plan(this.engine, fleet()));
+		LayerRange lost = new LayerRange(59, 68);
+		List<LayerPlanner.Holder> rest = placed.stream()
+			.filter((one) -> !(one.dataCentre().equals("a") && one.layers().equals(Optional.of(lost))))
+			.toList();
+		assertThat(rest).hasSize(placed.size() - 1);
+		Map<String, LayerRange> orders = LayerPlanner.plan(this.engine, rest);
+		assertThat(orders.keySet()).isNotEmpty().allMatch((id) -> id.startsWith("a-" + Samples.SMALL.name()));
+		assertThat(copies(placed(rest, orders), "a")).doesNotContain(0);
+	}
+
 	@Test
 	void aHostThatComesBackEmptyTakesWhatIsHeldLeast() {
 		List<LayerPlanner.Holder> placed = new ArrayList<>(placed(fleet(), LayerPlanner.plan(this.engine, fleet())));
