Count engines that left the store against a route's limit of attempts

A run on an endpoint whose registration is gone counted as ended, but endpoints that are released or retired leave the store while they still serve.

Change: only an endpoint that refuses connections has ended.

Ruled out: a send to an endpoint that had not run the stream before, beyond the limit, on any other way (Exchange.mayBeFirst is the only one).

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -424,9 +424,10 @@
 		}
 	}
 
-	// Tells whether an endpoint's process ended or its registration is gone.
+	// Tells whether an endpoint's process has ended. A registration that is gone says
+	// nothing: endpoints that leave without notice serve on for a while.
 	boolean hasEnded(String id) {
-		return this.faults.isDown(id) || this.directory.find(id).isEmpty();
+		return this.faults.isDown(id);
 	}
 
 	void watch(LayerPath path, long nowNanos) {
