Leave the retry budget alone while a stream waits for a path

Cause, from reading: a parked stream took a retry at each look for a path, ten a second, also when there was none, so streams that waited out an outage could use up the retries that they and others need when it ends.

A parked stream now looks for a path first and takes one retry for the send.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -22,6 +22,7 @@
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
+import org.comfreyslip.entry.model.SocketAddresses;
 import org.comfreyslip.entry.stream.EventFramer;
 
 /**
@@ -416,8 +417,7 @@
 	}
 
 	private void onNotExecuted(int status, long now) {
-		String blamed = this.replyFacts.faultAddress()
-			.orElse(this.endpoint.address().getHostString() + ":" + this.endpoint.address().getPort());
+		String blamed = this.replyFacts.faultAddress().orElse(SocketAddresses.text(this.endpoint.address()));
 		boolean other = this.router.onRefusedByEndpoint(this.endpoint, blamed, status, now);
 		// A refusal that another endpoint of the path caused leaves the first one usable.
 		String refusing = this.endpoint.id();
@@ -523,6 +523,16 @@
 		this.tried.clear();
 	}
 
+	// Takes a retry from the budget only once there is a path.
+	private void resume(long now) {
+		this.parkedNanos = now;
+		Optional<Endpoint> target = (this.router.mayForward(this.admitted)) ? chooseTarget(now) : Optional.empty();
+		if (target.isPresent() && this.router.tryRetry(this.admitted.service(), now)) {
+			this.parked = false;
+			send(target.get(), now);
+		}
+	}
+
 	private void refuse(String message, String why, long retryAfterMs) {
 		if (this.headSent) {
 			park();
@@ -600,8 +610,8 @@
 		}
 		if (this.parked) {
 			boolean due = nowNanos - this.parkedNanos >= TimeUnit.MILLISECONDS.toNanos(PARK_MS);
-			if (due && this.router.tryRetry(this.admitted.service(), nowNanos)) {
-				dispatch();
+			if (due) {
+				resume(nowNanos);
 			}
 			return;
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -37,6 +37,7 @@
 import org.comfreyslip.entry.model.RequestLimits;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.ServiceSpec;
+import org.comfreyslip.entry.model.SocketAddresses;
 import org.comfreyslip.entry.retry.RetryBudget;
 import org.comfreyslip.entry.route.RouteTable;
 
@@ -497,7 +498,7 @@
 
 	private Optional<Endpoint> findByAddress(String service, String address) {
 		for (Endpoint endpoint : this.directory.usable(service)) {
-			if ((endpoint.address().getHostString() + ":" + endpoint.address().getPort()).equals(address)) {
+			if (SocketAddresses.text(endpoint.address()).equals(address)) {
 				return Optional.of(endpoint);
 			}
 		}
