--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
@@ -136,4 +136,65 @@
 		assertThat(this.finder.find(List.of(one, rest), "a", 100, (first) -> !first.id().equals("one"), 0)).isEmpty();
 	}
 
+	private List<Endpoint> chainWithSpares() {
+		return List.of(Samples.endpoint("a1", "a", Samples.FAST, new LayerRange(0, 30)),
+				Samples.endpoint("a2", "a", Samples.FAST, new LayerRange(30, 55)),
+				Samples.endpoint("a3", "a", Samples.FAST, new LayerRange(55, 80)),
+				Samples.endpoint("b1", "b", Samples.SLOW, new LayerRange(28, 38)),
+				Samples.endpoint("b2", "b", Samples.SLOW, new LayerRange(38, 48)),
+				Samples.endpoint("b3", "b", Samples.SLOW, new LayerRange(48, 58)));
+	}
+
+	private Optional<LayerPath> mend(List<Endpoint> endpoints, String... lost) {
+		LayerPath path = find(endpoints, 900).orElseThrow();
+		return this.finder.mend(path, Set.of(lost), endpoints, 900, 0);
+	}
+
+	@Test
+	void aMendedPathKeepsTheOtherParts() {
+		LayerPath mended = mend(chainWithSpares(), "a2").orElseThrow();
+		assertRunsEachLayerOnceInOrder(mended);
+		assertThat(mended.parts()).extracting((part) -> part.endpoint().id())
+			.containsExactly("a1", "b1", "b2", "b3", "a3");
+		assertThat(mended.parts().get(1).layers().from()).isEqualTo(30);
+		assertThat(mended.parts().get(4).layers()).isEqualTo(new LayerRange(55, 80));
+	}
+
+	@Test
+	void aPathWhoseFirstPartIsLostCannotBeMended() {
+		assertThat(mend(chainWithSpares(), "a1")).isEmpty();
+	}
+
+	@Test
+	void aPathWhoseLostLayersNobodyElseHoldsCannotBeMended() {
+		assertThat(mend(chainWithSpares(), "a3")).isEmpty();
+		assertThat(mend(chainWithSpares(), "a2", "b2")).isEmpty();
+	}
+
+	@Test
+	void aHolderWithoutMemoryLeftMendsNothing() {
+		LayerPath spare = new LayerPath(List.of(new LayerPath.Part(chainWithSpares().get(3), new LayerRange(28, 38))));
+		this.loads.reserve(spare, 10_000_000);
+		assertThat(mend(chainWithSpares(), "a2")).isEmpty();
+	}
+
+	@Property(tries = 300)
+	void eachMendedPathRunsEachLayerOnceAndAvoidsTheLostEndpoint(
+			@ForAll @Size(min = 1, max = 30) List<@IntRange(min = 0, max = 75) Integer> starts,
+			@ForAll @IntRange(min = 5, max = 40) int size, @ForAll @IntRange(min = 0, max = 30) int lostPart) {
+		List<Endpoint> endpoints = new ArrayList<>();
+		for (int index = 0; index < starts.size(); index++) {
+			LayerRange range = new LayerRange(starts.get(index), Math.min(80, starts.get(index) + size));
+			endpoints.add(Samples.endpoint("e" + index, (index % 2 == 0) ? "a" : "b", Samples.SLOW, range));
+		}
+		find(endpoints, 900).ifPresent((path) -> {
+			String lost = path.parts().get(lostPart % path.parts().size()).endpoint().id();
+			this.finder.mend(path, Set.of(lost), endpoints, 900, 0).ifPresent((mended) -> {
+				assertRunsEachLayerOnceInOrder(mended);
+				assertThat(mended.uses(lost)).isFalse();
+				assertThat(mended.first()).isEqualTo(path.first());
+			});
+		});
+	}
+
 }
