--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -68,9 +68,6 @@
 	/** A stream without progress was looked into. */
 	STREAM_INQUIRED(8304, Level.WARNING),
 
-	/** A stream was ordered onto another path without a new run. */
-	STREAM_REROUTED(8305, Level.WARNING),
-
 	/** This daemon holds the placement of layers, or no longer does. */
 	DUTY(8401, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -109,9 +109,6 @@
 		/** Requests that went on at another endpoint. */
 		MOVED,
 
-		/** Streams that were ordered onto another path without a new run. */
-		REROUTED,
-
 		/** Endpoints that were named as the cause of a failure. */
 		ENDPOINTS_BLAMED
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
@@ -119,10 +118,6 @@
 
 	private boolean done;
 
-	private boolean rerouting;
-
-	private boolean rerouted;
-
 	private boolean parked;
 
 	private long parkedNanos;
@@ -223,8 +218,6 @@
 
 	private void send(Endpoint target, long now) {
 		this.endpoint = target;
-		this.rerouting = false;
-		this.rerouted = false;
 		this.sends++;
 		this.sent = false;
 		this.replyHead = null;
@@ -494,67 +487,6 @@
 		fail("endpoint " + name + " broke off: " + cause);
 	}
 
-	// Tells whether the stream waits for a part of its path. After a change of the path,
-	// a report may still name an endpoint that the stream does not need any more.
-	Router.Finding judge(List<EngineControl.Stalled> stalled) {
-		Set<String> lost = new HashSet<>();
-		boolean waits = false;
-		for (EngineControl.Stalled one : stalled) {
-			if (one.attemptId().equals(id())) {
-				Optional<String> part = partAt(one.address());
-				waits |= part.isPresent() || !this.rerouted;
-				part.ifPresent(lost::add);
-			}
-		}
-		return new Router.Finding((waits) ? Router.Verdict.STALLED : Router.Verdict.WORKING, lost);
-	}
-
-	private Optional<String> partAt(String address) {
-		return path().stream()
-			.flatMap((used) -> used.parts().stream())
-			.map(LayerPath.Part::endpoint)
-			.filter((endpoint) -> SocketAddresses.text(endpoint.address()).equals(address))
-			.map(Endpoint::id)
-			.findFirst();
-	}
-
-	// Leads the stream around lost parts. A new run reads the prompt and all tokens so
-	// far
-	// through all layers, another path only through the layers of the lost parts.
-	void onPartsLost(Set<String> lost, BreakCause cause) {
-		if (this.done || this.connection == null || this.path == null || this.rerouting) {
-			return;
-		}
-		Optional<LayerPath> mended = (lost.isEmpty()) ? Optional.empty()
-				: this.router.mendPath(this.admitted, this.path, lost, this.reservedTokens, System.nanoTime());
-		if (mended.isEmpty()) {
-			abandonSend(cause);
-			return;
-		}
-		this.router.loads().release(this.path, this.reservedTokens);
-		this.path = mended.get();
-		this.router.loads().reserve(this.path, this.reservedTokens);
-		this.rerouting = true;
-		this.rerouted = true;
-		EndpointConnection ordered = this.connection;
-		this.router.reroute(id(), this.path, lost, (outcome) -> {
-			if (!this.done && this.connection == ordered) {
-				this.rerouting = false;
-				onRerouted(outcome, cause);
-			}
-		});
-	}
-
-	private void onRerouted(EngineControl.OrderOutcome outcome, BreakCause cause) {
-		if (outcome != EngineControl.OrderOutcome.ACCEPTED) {
-			abandonSend(cause);
-			return;
-		}
-		long now = System.nanoTime();
-		this.progressNanos = now;
-		this.router.watch(this.path, now);
-	}
-
 	// Ends the send because a part of its path stopped, if it can go on elsewhere.
 	// Silence alone is no reason to end
 	// an answer, since the endpoint may still go on.
@@ -702,16 +634,15 @@
 			return;
 		}
 		this.inquiring = true;
-		boolean again = this.inquiredNanos - this.progressNanos > 0;
-		if (again) {
+		if (this.inquiredNanos - this.progressNanos > 0) {
 			this.inquiryGapMs = 2 * this.inquiryGapMs;
 		}
 		this.inquiredNanos = nowNanos;
 		EndpointConnection asked = this.connection;
-		this.router.inquire(this, this.path, !again, (finding) -> {
+		this.router.inquire(this, this.endpoint, (verdict) -> {
 			this.inquiring = false;
-			if (!this.done && asked == this.connection && finding.verdict() != Router.Verdict.WORKING) {
-				onPartsLost(finding.lost(), BreakCause.SILENT);
+			if (!this.done && asked == this.connection && verdict != Router.Verdict.WORKING) {
+				abandonSend(BreakCause.SILENT);
 			}
 		});
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -86,7 +86,7 @@
 	private static final int PLAIN_PATIENCE = 2;
 
 	/** Share of the longest pause after which a stream is looked into, in percent. */
-	private static final int GAP_SHARE_PERCENT = 50;
+	private static final int GAP_SHARE_PERCENT = 75;
 
 	/** Pause after which a stream is looked into on a route that states none, in ms. */
 	private static final long DEFAULT_GAP_MS = 300;
@@ -111,8 +111,6 @@
 
 	private final EndpointWatch watch;
 
-	private final EngineProbes probes;
-
 	private final PlainSelector plain;
 
 	private final RetryBudget budget;
@@ -163,7 +161,6 @@
 		this.random = random;
 		this.pool = new EndpointPool(loop, wire);
 		this.watch = new EndpointWatch(loop, this::onEndpointDown);
-		this.probes = new EngineProbes(engines);
 		this.plain = new PlainSelector(this.faults, random);
 		this.budget = new RetryBudget(settings.retryRatio(), settings.retryConstant(), settings.retryWindowSeconds(),
 				ASSUMED_DAEMONS);
@@ -423,7 +420,7 @@
 		this.faults.onDown(endpoint.id(), nowNanos);
 		for (Exchange exchange : new ArrayList<>(this.open)) {
 			if (exchange.path().filter((path) -> path.uses(endpoint.id())).isPresent()) {
-				exchange.onPartsLost(Set.of(endpoint.id()), BreakCause.CLOSED);
+				exchange.abandonSend(BreakCause.CLOSED);
 			}
 		}
 	}
@@ -523,50 +520,38 @@
 		}
 	}
 
-	// Looks into a stream without progress: asks the first endpoint of its path whether
-	// it waits for another one, and the others whether they answer.
-	void inquire(Exchange exchange, LayerPath path, boolean askAll, Consumer<Finding> done) {
-		Endpoint first = path.first();
-		long now = System.nanoTime();
-		List<LayerPath.Part> others = (askAll) ? path.parts().subList(1, path.parts().size()) : List.of();
-		StreamInquiry inquiry = new StreamInquiry(path.parts().size(), others.size(), (finding) -> {
-			onFinding(exchange, first, finding);
-			done.accept(finding);
-		});
-		others.forEach((part) -> this.probes.ask(part.endpoint(), now,
-				(answers) -> inquiry.onProbe(part.endpoint().id(), answers)));
-		askFirst(first, (report) -> inquiry.onReport(report.map((one) -> exchange.judge(one.stalled()))
-			.orElse(new Finding(Verdict.UNREACHABLE, Set.of(first.id())))));
-	}
-
-	private void askFirst(Endpoint first, Consumer<Optional<EngineControl.Report>> done) {
+	// Asks the first endpoint of a stream's path whether the stream waits for another
+	// one.
+	void inquire(Exchange exchange, Endpoint first, Consumer<Verdict> done) {
+		String id = exchange.id();
+		Consumer<Optional<EngineControl.Report>> judge = (report) -> done.accept(judge(id, first, report));
 		List<Consumer<Optional<EngineControl.Report>>> waiting = this.inquiries.get(first.id());
 		if (waiting != null) {
-			waiting.add(done);
+			waiting.add(judge);
 			return;
 		}
-		this.inquiries.put(first.id(), new ArrayList<>(List.of(done)));
+		this.inquiries.put(first.id(), new ArrayList<>(List.of(judge)));
 		this.engines.report(first, (report) -> this.inquiries.remove(first.id()).forEach((one) -> one.accept(report)));
 	}
 
-	private void onFinding(Exchange exchange, Endpoint first, Finding finding) {
+	private Verdict judge(String attemptId, Endpoint first, Optional<EngineControl.Report> report) {
 		long now = System.nanoTime();
-		finding.lost().forEach((id) -> this.faults.onUnreachable(id, now));
-		EntryLog.write(EntryEvent.STREAM_INQUIRED, exchange.id(), "first", first.id(), "verdict", finding.verdict(),
-				"lost", finding.lost());
-	}
-
-	Optional<LayerPath> mendPath(Admitted admitted, LayerPath broken, Set<String> lost, int tokens, long nowNanos) {
-		return new PathFinder(admitted.engine().get(), this.loads, this.paces).mend(broken, lost,
-				holders(admitted.service(), nowNanos), tokens, nowNanos);
-	}
-
-	void reroute(String attemptId, LayerPath path, Set<String> lost, Consumer<EngineControl.OrderOutcome> done) {
-		this.engines.reroute(attemptId, path, (outcome) -> {
-			this.metrics.add(EntryMetrics.Count.REROUTED);
-			EntryLog.write(EntryEvent.STREAM_REROUTED, attemptId, "lost", lost, "outcome", outcome);
-			done.accept(outcome);
-		});
+		Verdict verdict = Verdict.WORKING;
+		if (report.isEmpty()) {
+			this.faults.onUnreachable(first.id(), now);
+			verdict = Verdict.UNREACHABLE;
+		}
+		else {
+			for (EngineControl.Stalled stalled : report.get().stalled()) {
+				if (stalled.attemptId().equals(attemptId)) {
+					findByAddress(first.service(), stalled.address())
+						.ifPresent((endpoint) -> this.faults.onUnreachable(endpoint.id(), now));
+					verdict = Verdict.STALLED;
+				}
+			}
+		}
+		EntryLog.write(EntryEvent.STREAM_INQUIRED, attemptId, "first", first.id(), "verdict", verdict);
+		return verdict;
 	}
 
 	/**
@@ -591,16 +576,7 @@
 		this.watch.tick(nowNanos);
 	}
 
-	/**
-	 * What an inquiry about a stream found.
-	 *
-	 * @param verdict the finding
-	 * @param lost endpoints of its path that do not answer
-	 */
-	record Finding(Verdict verdict, Set<String> lost) {
-	}
-
-	/** Whether a stream is being worked on. */
+	/** What an inquiry about a stream found. */
 	enum Verdict {
 
 		/** The stream is being worked on. */
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/EngineControl.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/EngineControl.java
@@ -19,13 +19,6 @@
 	 */
 	void report(Endpoint endpoint, Consumer<Optional<Report>> done);
 
-	/**
-	 * Asks whether an engine answers, with a wait much shorter than that for a report.
-	 * @param endpoint the endpoint
-	 * @param done takes whether it answered
-	 */
-	void probe(Endpoint endpoint, Consumer<Boolean> done);
-
 	/**
 	 * Orders an engine to hold a range of layers in place of what it holds. Streams
 	 * through the layers that it gives up are cut and go on elsewhere.
@@ -37,15 +30,6 @@
 	 */
 	void place(Endpoint endpoint, LayerRange layers, long fence, long expectedOrders, Consumer<OrderOutcome> done);
 
-	/**
-	 * Orders a running stream onto another path with the same first part. Parts that are
-	 * not new keep its KV cache; new parts read all tokens so far.
-	 * @param attemptId the caller's attempt
-	 * @param path the path
-	 * @param done takes the outcome
-	 */
-	void reroute(String attemptId, LayerPath path, Consumer<OrderOutcome> done);
-
 	/** Outcome of an order. */
 	enum OrderOutcome {
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -98,70 +98,8 @@
 	 */
 	public Optional<LayerPath> find(List<Endpoint> candidates, String dataCentre, int tokens,
 			Predicate<Endpoint> allowedFirst, long nowNanos) {
-		LayerRange all = new LayerRange(0, this.engine.layers());
-		Search search = new Search(candidates, new Span(all, dataCentre, Optional.empty()), tokens, nowNanos);
-		return search.run((first) -> hasSlot(first) && allowedFirst.test(first)).map(LayerPath::new);
-	}
-
-	/**
-	 * Replaces the parts of a path whose endpoints are lost. All other parts keep their
-	 * layers, so their KV cache stays of use.
-	 * @param broken the path
-	 * @param lost identities of the lost endpoints
-	 * @param candidates endpoints that hold layers and may be used
-	 * @param tokens tokens that the stream will hold, prompt and answer
-	 * @param nowNanos the current time in ns
-	 * @return the mended path, empty if the first part is lost or layers have no other
-	 * holder with memory left
-	 */
-	public Optional<LayerPath> mend(LayerPath broken, Set<String> lost, List<Endpoint> candidates, int tokens,
-			long nowNanos) {
-		List<Endpoint> fresh = candidates.stream()
-			.filter((endpoint) -> !broken.uses(endpoint.id()) && !lost.contains(endpoint.id()))
-			.toList();
-		List<LayerPath.Part> mended = new ArrayList<>();
-		Set<String> used = new HashSet<>();
-		for (int index = 0; index < broken.parts().size(); index++) {
-			LayerPath.Part part = broken.parts().get(index);
-			List<LayerPath.Part> replacement = List.of(part);
-			if (lost.contains(part.endpoint().id())) {
-				replacement = (index == 0) ? List.of() : replace(broken, index, fresh, tokens, nowNanos);
-			}
-			boolean again = replacement.stream().anyMatch((one) -> !used.add(one.endpoint().id()));
-			if (replacement.isEmpty() || again) {
-				return Optional.empty();
-			}
-			mended.addAll(replacement);
-		}
-		return (mended.size() <= MAX_PARTS) ? Optional.of(new LayerPath(mended)) : Optional.empty();
-	}
-
-	private List<LayerPath.Part> replace(LayerPath broken, int index, List<Endpoint> fresh, int tokens, long nowNanos) {
-		LayerPath.Part part = broken.parts().get(index);
-		String before = broken.parts().get(index - 1).endpoint().dataCentre();
-		Optional<String> after = (index + 1 < broken.parts().size())
-				? Optional.of(broken.parts().get(index + 1).endpoint().dataCentre()) : Optional.empty();
-		Search search = new Search(fresh, new Span(part.layers(), before, after), tokens, nowNanos);
-		return search.run((first) -> true).orElse(List.of());
-	}
-
-	private boolean hasSlot(Endpoint first) {
-		return this.loads.of(first.id()).firsts() < SLOT_SHARE * this.engine.slots();
-	}
-
-	/**
-	 * Layers that are searched.
-	 *
-	 * @param layers the layers
-	 * @param enteredFrom data centre of the daemon or of the part before
-	 * @param leftTo data centre of the part behind; empty if the last layer is among them
-	 */
-	private record Span(LayerRange layers, String enteredFrom, Optional<String> leftTo) {
-
-		boolean isWhole() {
-			return this.layers.from() == 0;
-		}
-
+		Search search = new Search(candidates, dataCentre, tokens, allowedFirst, nowNanos);
+		return search.run();
 	}
 
 	/**
@@ -174,10 +112,12 @@
 
 		private final List<Endpoint> candidates;
 
-		private final Span span;
+		private final String dataCentre;
 
 		private final int tokens;
 
+		private final Predicate<Endpoint> allowedFirst;
+
 		private final int[] boundaries;
 
 		private final Arrival[][] best;
@@ -188,10 +128,12 @@
 
 		private final Map<String, Double> pipeMs = new HashMap<>();
 
-		Search(List<Endpoint> candidates, Span span, int tokens, long nowNanos) {
+		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst,
+				long nowNanos) {
 			this.candidates = candidates;
-			this.span = span;
+			this.dataCentre = dataCentre;
 			this.tokens = Math.max(1, tokens);
+			this.allowedFirst = allowedFirst;
 			this.boundaries = boundaries();
 			this.best = new Arrival[this.boundaries.length][candidates.size()];
 			this.layerMs = new double[candidates.size()];
@@ -202,18 +144,14 @@
 		}
 
 		private int[] boundaries() {
-			LayerRange searched = this.span.layers();
-			Set<Integer> all = new TreeSet<>(Set.of(searched.from(), searched.to()));
+			Set<Integer> all = new TreeSet<>(Set.of(0, PathFinder.this.engine.layers()));
 			for (Endpoint endpoint : this.candidates) {
 				endpoint.layers().ifPresent((range) -> {
 					all.add(range.from());
 					all.add(range.to());
 				});
 			}
-			return all.stream()
-				.filter((boundary) -> boundary >= searched.from() && boundary <= searched.to())
-				.mapToInt(Integer::intValue)
-				.toArray();
+			return all.stream().mapToInt(Integer::intValue).toArray();
 		}
 
 		private void rate(int index, long nowNanos) {
@@ -241,12 +179,10 @@
 					/ spec.layers();
 		}
 
-		Optional<List<LayerPath.Part>> run(Predicate<Endpoint> allowedFirst) {
+		Optional<LayerPath> run() {
 			for (int boundary = 0; boundary + 1 < this.boundaries.length; boundary++) {
 				for (int index = 0; index < this.candidates.size(); index++) {
-					if (boundary > 0 || allowedFirst.test(this.candidates.get(index))) {
-						extendFrom(boundary, index);
-					}
+					extendFrom(boundary, index);
 				}
 			}
 			return trace();
@@ -277,7 +213,13 @@
 		private Arrival cheapestEntry(int boundary, int index) {
 			Endpoint endpoint = this.candidates.get(index);
 			if (boundary == 0) {
-				return new Arrival(entryMs(endpoint.dataCentre()), -1, -1, 1);
+				boolean slots = PathFinder.this.loads.of(endpoint.id()).firsts() < SLOT_SHARE
+						* PathFinder.this.engine.slots();
+				if (!slots || !this.allowedFirst.test(endpoint)) {
+					return null;
+				}
+				double entry = (endpoint.dataCentre().equals(this.dataCentre)) ? 0 : REMOTE_FIRST_MS;
+				return new Arrival(entry, -1, -1, 1);
 			}
 			Arrival cheapest = null;
 			for (int previous = 0; previous < this.candidates.size(); previous++) {
@@ -293,18 +235,6 @@
 			return cheapest;
 		}
 
-		private double entryMs(String to) {
-			if (!this.span.isWhole()) {
-				return hopMs(this.span.enteredFrom(), to);
-			}
-			return (to.equals(this.span.enteredFrom())) ? 0 : REMOTE_FIRST_MS;
-		}
-
-		private double exitMs(int index) {
-			String from = this.candidates.get(index).dataCentre();
-			return this.span.leftTo().map((to) -> hopMs(from, to)).orElse(0.0);
-		}
-
 		private double hopMs(String from, String to) {
 			if (from.equals(to)) {
 				return HOP_MS;
@@ -322,14 +252,12 @@
 			return HOP_MS + REMOTE_HOP_MS + tokens * spec.pipeMsPerToken() / (1 - used);
 		}
 
-		private Optional<List<LayerPath.Part>> trace() {
+		private Optional<LayerPath> trace() {
 			int boundary = this.boundaries.length - 1;
 			int index = -1;
-			double least = Double.MAX_VALUE;
 			for (int last = 0; last < this.candidates.size(); last++) {
 				Arrival arrival = this.best[boundary][last];
-				if (arrival != null && arrival.cost() + exitMs(last) < least) {
-					least = arrival.cost() + exitMs(last);
+				if (arrival != null && (index < 0 || arrival.cost() < this.best[boundary][index].cost())) {
 					index = last;
 				}
 			}
@@ -346,7 +274,7 @@
 				boundary = arrival.fromBoundary();
 				index = arrival.fromEndpoint();
 			}
-			return (parts.isEmpty()) ? Optional.empty() : Optional.of(new ArrayList<>(parts));
+			return (parts.isEmpty()) ? Optional.empty() : Optional.of(new LayerPath(new ArrayList<>(parts)));
 		}
 
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
@@ -110,11 +110,6 @@
 			done.accept(Optional.of(new Report(Optional.empty(), 3, false, 1, List.of())));
 		}
 
-		@Override
-		public void probe(Endpoint endpoint, Consumer<Boolean> done) {
-			done.accept(true);
-		}
-
 		@Override
 		public void place(Endpoint endpoint, LayerRange layers, long fence, long expectedOrders,
 				Consumer<OrderOutcome> done) {
@@ -124,11 +119,6 @@
 			done.accept(this.outcome);
 		}
 
-		@Override
-		public void reroute(String attemptId, LayerPath path, Consumer<OrderOutcome> done) {
-			throw new UnsupportedOperationException("the coordinator moves layers, not streams");
-		}
-
 	}
 
 }
