Count engines that exit as planned against a route's limit of attempts

An engine that is released leaves the store, serves on, and exits while its last streams run. The refused connection then counted its runs as those of an endpoint that has failed.

Change: an endpoint has failed if it refuses connections while it was registered and not leaving; otherwise it is avoided, and its runs count.

Test: EndpointChoiceTests.anEndpointThatExitsAfterItLeftIsAvoidedAndHasNotFailed; a test with a whole daemon was dropped, since the harness's deadline of 2 s ends before the registrations, read once a second, show all steps.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -77,19 +77,23 @@
 	/**
 	 * Records that an endpoint refuses connections, so that its process has ended.
 	 * @param id the endpoint
+	 * @param leaving whether it had announced that it leaves, or left the store, before
 	 * @param nowNanos the current time in ns
 	 */
-	public void onDown(String id, long nowNanos) {
+	public void onDown(String id, boolean leaving, long nowNanos) {
 		onUnreachable(id, nowNanos);
-		this.down.add(id);
+		if (!leaving) {
+			this.down.add(id);
+		}
 	}
 
 	/**
-	 * Tells whether an endpoint refused connections and has not answered since.
+	 * Tells whether an endpoint's process ended while it was to serve, and has not
+	 * answered since. An exit as planned is no failure.
 	 * @param id the endpoint
-	 * @return whether its process has ended
+	 * @return whether it failed
 	 */
-	public boolean isDown(String id) {
+	public boolean hasFailed(String id) {
 		return this.down.contains(id);
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -417,7 +417,8 @@
 	// The process of an endpoint ended; all streams that run through it go on elsewhere.
 	private void onEndpointDown(Endpoint endpoint, long nowNanos) {
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
-		this.faults.onDown(endpoint.id(), nowNanos);
+		boolean leaving = this.directory.find(endpoint.id()).isEmpty();
+		this.faults.onDown(endpoint.id(), leaving, nowNanos);
 		for (Exchange exchange : new ArrayList<>(this.open)) {
 			if (exchange.path().filter((path) -> path.uses(endpoint.id())).isPresent()) {
 				exchange.abandonSend(BreakCause.CLOSED);
@@ -425,10 +426,11 @@
 		}
 	}
 
-	// Tells whether an endpoint's process has ended. A registration that is gone says
-	// nothing: endpoints that leave without notice serve on for a while.
+	// Tells whether an endpoint's process ended while it was to serve. Endpoints that
+	// left count on against the limits of routes, whether they still serve or have
+	// exited as planned.
 	boolean hasEnded(String id) {
-		return this.faults.isDown(id);
+		return this.faults.hasFailed(id);
 	}
 
 	void watch(LayerPath path, long nowNanos) {
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -93,13 +93,22 @@
 
 	@Test
 	void anEngineWhoseStreamsEndWellHasNoFailuresLeft() {
-		this.faults.onDown("a", 0);
-		assertThat(this.faults.isDown("a")).isTrue();
+		this.faults.onDown("a", false, 0);
+		assertThat(this.faults.hasFailed("a")).isTrue();
 		this.faults.onWorking("a");
-		assertThat(this.faults.isDown("a")).isFalse();
+		assertThat(this.faults.hasFailed("a")).isFalse();
 		assertThat(this.faults.isAvoided("a", 1)).isFalse();
 	}
 
+	// Replays the release of engines: one exits after it has left the store, and the runs
+	// of its last streams count against the limit of their routes.
+	@Test
+	void anEndpointThatExitsAfterItLeftIsAvoidedAndHasNotFailed() {
+		this.faults.onDown("a", true, 0);
+		assertThat(this.faults.isAvoided("a", 1)).isTrue();
+		assertThat(this.faults.hasFailed("a")).isFalse();
+	}
+
 	@Test
 	void whatAnotherDaemonReportedIsNotPassedOn() {
 		this.faults.onReported("a", 0);
