--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/AddressInUseTests.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/AddressInUseTests.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 
 import org.comfreyslip.daemon.DaemonMain;
+import org.comfreyslip.standins.FreePorts;
 import org.comfreyslip.standins.StandinMain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,8 +52,8 @@
 		Path file = this.directory.resolve("second.ini");
 		String settings = Files.readString(this.directory.resolve("daemon-1.ini"))
 			.replace("name = daemon-1", "name = second")
-			.replace(this.deployment.address("daemon-1/grpc"), "127.0.0.1:" + Deployment.freePort())
-			.replace(this.deployment.adminAddress("daemon-1"), "127.0.0.1:" + Deployment.freePort());
+			.replace(this.deployment.address("daemon-1/grpc"), "127.0.0.1:" + FreePorts.draw())
+			.replace(this.deployment.adminAddress("daemon-1"), "127.0.0.1:" + FreePorts.draw());
 		Files.writeString(file, settings);
 		try (JavaProcess second = JavaProcess.start(DaemonMain.class, "--settings", file.toString())) {
 			assertThat(second.awaitExit(EXIT_SECONDS)).isNotZero();
--- a/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
+++ b/comfreyslip-acceptance/src/test/java/org/comfreyslip/acceptance/Deployment.java
@@ -2,18 +2,14 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 
 import org.comfreyslip.clients.HttpCall;
 import org.comfreyslip.clients.HttpReply;
@@ -23,6 +19,7 @@
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.daemon.DaemonMain;
+import org.comfreyslip.standins.FreePorts;
 import org.comfreyslip.standins.StandinMain;
 
 /**
@@ -42,22 +39,6 @@
 
 	private static final String IP = "127.0.0.1";
 
-	/**
-	 * Below the range of ephemeral ports, so that no outgoing connection takes a port
-	 * between its choice and the start of the daemon.
-	 */
-	private static final int FIRST_PORT = 20_000;
-
-	private static final int PORTS = 10_000;
-
-	/**
-	 * Ports that were drawn before in this process. A port stays free until its process
-	 * binds it, so that without them two processes could draw the same one.
-	 */
-	private static final Set<Integer> DRAWN_PORTS = ConcurrentHashMap.newKeySet();
-
-	private static final int PORT_ATTEMPTS = 100;
-
 	private static final int LIMIT_MILLIS = 5_000;
 
 	private final Map<String, JavaProcess> processes = new ConcurrentHashMap<>();
@@ -195,9 +176,9 @@
 	private void assignPorts(String name) {
 		if (!this.daemons.contains(name)) {
 			this.daemons.add(name);
-			this.addresses.put(name, IP + ":" + freePort());
-			this.addresses.put(name + "/admin", IP + ":" + freePort());
-			this.addresses.put(name + "/grpc", IP + ":" + freePort());
+			this.addresses.put(name, IP + ":" + FreePorts.draw());
+			this.addresses.put(name + "/admin", IP + ":" + FreePorts.draw());
+			this.addresses.put(name + "/grpc", IP + ":" + FreePorts.draw());
 		}
 	}
 
@@ -279,20 +260,4 @@
 		}
 	}
 
-	static int freePort() {
-		for (int i = 0; i < PORT_ATTEMPTS; i++) {
-			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
-			if (!DRAWN_PORTS.add(port)) {
-				continue;
-			}
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(IP))) {
-				return socket.getLocalPort();
-			}
-			catch (IOException ex) {
-				// The port is in use; another one is tried.
-			}
-		}
-		throw new IllegalStateException("no free port from " + FIRST_PORT + " on");
-	}
-
 }
--- a/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
+++ b/comfreyslip-daemon/src/test/java/org/comfreyslip/daemon/InProcessDeployment.java
@@ -1,8 +1,5 @@
 package org.comfreyslip.daemon;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -10,10 +7,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -25,6 +19,7 @@
 import org.comfreyslip.coordination.config.ConfigRecord;
 import org.comfreyslip.coordination.config.ConfigVersion;
 import org.comfreyslip.settings.DaemonSettings;
+import org.comfreyslip.standins.FreePorts;
 import org.comfreyslip.standins.StandinKind;
 import org.comfreyslip.standins.StandinServer;
 
@@ -42,22 +37,6 @@
 
 	private static final String IP = "127.0.0.1";
 
-	/**
-	 * Below the range of ephemeral ports, so that no outgoing connection takes a port
-	 * between its choice and the start of the daemon.
-	 */
-	private static final int FIRST_PORT = 20_000;
-
-	private static final int PORTS = 10_000;
-
-	/**
-	 * Ports that were drawn before in this process. A port stays free until its process
-	 * binds it, so that without them two processes could draw the same one.
-	 */
-	private static final Set<Integer> DRAWN_PORTS = ConcurrentHashMap.newKeySet();
-
-	private static final int PORT_ATTEMPTS = 100;
-
 	private static final int LIMIT_MILLIS = 5_000;
 
 	private static final long WAIT_NANOS = Duration.ofSeconds(30).toNanos();
@@ -68,9 +47,9 @@
 
 	private final PlatformHttp http = new PlatformHttp();
 
-	private final String callers = IP + ":" + freePort();
+	private final String callers = IP + ":" + FreePorts.draw();
 
-	private final String admin = IP + ":" + freePort();
+	private final String admin = IP + ":" + FreePorts.draw();
 
 	private final StandinServer log = standin(StandinKind.LOG);
 
@@ -87,7 +66,7 @@
 	 */
 	public InProcessDeployment(String tls) {
 		String settings = "[daemon]\nname = daemon-1\ndata-centre = si-1\nregion = si-central\nhttp-listen = "
-				+ this.callers + "\ngrpc-listen = " + IP + ":" + freePort() + "\nadmin-listen = " + this.admin
+				+ this.callers + "\ngrpc-listen = " + IP + ":" + FreePorts.draw() + "\nadmin-listen = " + this.admin
 				+ "\n\n[platform]\nlog = " + this.log.address() + "\nhost-list = "
 				+ standin(StandinKind.HOSTS).address() + "\nweight-store = " + standin(StandinKind.WEIGHTS).address()
 				+ "\n\n" + tls;
@@ -226,20 +205,4 @@
 		}
 	}
 
-	private static int freePort() {
-		for (int i = 0; i < PORT_ATTEMPTS; i++) {
-			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
-			if (!DRAWN_PORTS.add(port)) {
-				continue;
-			}
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(IP))) {
-				return socket.getLocalPort();
-			}
-			catch (IOException ex) {
-				// The port is in use; another one is tried.
-			}
-		}
-		throw new IllegalStateException("no free port from " + FIRST_PORT + " on");
-	}
-
 }
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedDeployment.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/embedded/EmbeddedDeployment.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -26,6 +24,7 @@
 import org.comfreyslip.load.scenario.Scenario;
 import org.comfreyslip.load.scenario.TargetPlan;
 import org.comfreyslip.load.scenario.TopologyPlan;
+import org.comfreyslip.standins.FreePorts;
 import org.comfreyslip.standins.StandinMain;
 
 /**
@@ -234,9 +233,9 @@
 	}
 
 	private void reserveAddresses(String daemon) {
-		this.addresses.put(daemon, IP + ":" + freePort());
-		this.addresses.put(daemon + "/admin", IP + ":" + freePort());
-		this.addresses.put(daemon + "/grpc", IP + ":" + freePort());
+		this.addresses.put(daemon, IP + ":" + FreePorts.draw());
+		this.addresses.put(daemon + "/admin", IP + ":" + FreePorts.draw());
+		this.addresses.put(daemon + "/grpc", IP + ":" + FreePorts.draw());
 	}
 
 	private void launchDaemon(String name) {
@@ -300,15 +299,6 @@
 		}
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private static void sleep() {
 		try {
 			Thread.sleep(POLL_MILLIS);
