--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -68,6 +68,12 @@
 	/** The first engine of a stream without progress was probed. */
 	STREAM_INQUIRED(8304, Level.WARNING),
 
+	/** A path over engines was chosen for a send of a stream. */
+	PATH_CHOSEN(8305, Level.INFO),
+
+	/** A request was refused because no path over engines can take it. */
+	NO_PATH(8306, Level.WARNING),
+
 	/** This daemon became the leader for layer placement or ceased to be it. */
 	DUTY(8401, Level.INFO),
 
@@ -75,7 +81,10 @@
 	LAYERS_ORDERED(8402, Level.INFO),
 
 	/** The outcome of an order to an endpoint is known, or the order was postponed. */
-	ORDER_OUTCOME(8403, Level.INFO);
+	ORDER_OUTCOME(8403, Level.INFO),
+
+	/** The set of layers that no usable engine of a data centre holds has changed. */
+	LAYERS_MISSING(8404, Level.WARNING);
 
 	private final int number;
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -111,7 +111,13 @@
 		MOVED,
 
 		/** Number of times that an endpoint was named as the cause of a failure. */
-		ENDPOINTS_BLAMED
+		ENDPOINTS_BLAMED,
+
+		/** Sends of streams over a path that changes the data centre. */
+		PATHS_ACROSS_DATA_CENTRES,
+
+		/** Searches for a path that found none. */
+		PATHS_MISSING
 
 	}
 
@@ -122,7 +128,10 @@
 		FIRST_EVENT,
 
 		/** Time from the arrival of a request to its final response. */
-		REQUEST
+		REQUEST,
+
+		/** Age of the oldest load of another daemon when a path was chosen. */
+		PEER_LOADS_AGE
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -200,6 +200,9 @@
 		}
 		Optional<Endpoint> target = chooseTarget(now);
 		if (target.isEmpty()) {
+			if (this.admitted.engine().isPresent()) {
+				this.router.recordMissingPath(id(), this.admitted, now);
+			}
 			refuseOrSuspend("no endpoint can take the request now", "no endpoint", this.router.capacityRetryMs());
 			return;
 		}
@@ -274,6 +277,7 @@
 				this.callerRequest.head().method(), this.callerRequest.head().uri(), body, headers,
 				EmptyHttpHeaders.INSTANCE);
 		if (this.path != null) {
+			this.router.recordPath(id(), this.path, now);
 			this.router.loads().reserve(this.path, this.reservedTokens);
 			this.router.monitorPath(this.path, now);
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -427,6 +427,29 @@
 				allowedFirst, nowNanos);
 	}
 
+	// Logs the path that a send takes, and what the search knew when it chose it.
+	void recordPath(String requestId, LayerPath path, long nowNanos) {
+		long loadsAgeMs = TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos));
+		this.metrics.record(EntryMetrics.Time.PEER_LOADS_AGE, loadsAgeMs);
+		if (path.linkCrossings() > 0) {
+			this.metrics.increment(EntryMetrics.Count.PATHS_ACROSS_DATA_CENTRES);
+		}
+		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", path.linkCrossings(),
+				"token_ms", Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
+				this.loads.peerCount());
+	}
+
+	// Logs why no path was found: layers that no usable engine holds, or else a lack of
+	// capacity.
+	void recordMissingPath(String requestId, AdmittedRequest admitted, long nowNanos) {
+		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
+		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
+		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
+		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engines.size(), "missing_layers",
+				finder.missingLayers(engines), "loads_age_ms",
+				TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos)), "peers", this.loads.peerCount());
+	}
+
 	private List<Endpoint> usableEngines(String service, long nowNanos) {
 		List<Endpoint> usable = new ArrayList<>();
 		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
@@ -11,7 +11,10 @@
 
 	private final Map<String, Load> ownLoads = new HashMap<>();
 
-	private Map<String, Load> peerLoads = Map.of();
+	private PeerLoads peerLoads = PeerLoads.NONE;
+
+	/** Steady time in ns of the oldest message that the peers' loads are taken from. */
+	private long peerLoadsSinceNanos;
 
 	/**
 	 * Reserves KV cache memory on all stages of a path, and capacity on the links between
@@ -71,10 +74,29 @@
 
 	/**
 	 * Replaces the loads that other daemons reported.
-	 * @param loads the sum of the other daemons' loads by endpoint identity or link key
+	 * @param loads the loads of the other daemons
+	 * @param nowNanos the current steady time in ns
 	 */
-	public void setPeerLoads(Map<String, Load> loads) {
+	public void setPeerLoads(PeerLoads loads, long nowNanos) {
 		this.peerLoads = loads;
+		this.peerLoadsSinceNanos = nowNanos - loads.oldestAgeNanos();
+	}
+
+	/**
+	 * Returns the age of the oldest message that the peers' loads are taken from.
+	 * @param nowNanos the current steady time in ns
+	 * @return the age in ns; 0 if no peer's loads are known
+	 */
+	public long peerLoadsAgeNanos(long nowNanos) {
+		return (this.peerLoads.daemonCount() > 0) ? nowNanos - this.peerLoadsSinceNanos : 0;
+	}
+
+	/**
+	 * Returns how many other daemons' loads are known.
+	 * @return the number of daemons
+	 */
+	public int peerCount() {
+		return this.peerLoads.daemonCount();
 	}
 
 	/**
@@ -92,7 +114,22 @@
 	 * @return the load by the streams of all daemons; {@link Load#NONE} if there is none
 	 */
 	public Load totalLoad(String id) {
-		return this.ownLoads.getOrDefault(id, Load.NONE).plus(this.peerLoads.getOrDefault(id, Load.NONE));
+		return this.ownLoads.getOrDefault(id, Load.NONE).plus(this.peerLoads.loads().getOrDefault(id, Load.NONE));
+	}
+
+	/**
+	 * Loads that other daemons reported.
+	 *
+	 * @param loads the sum of their loads by endpoint identity or link key
+	 * @param daemonCount number of daemons in the sum
+	 * @param oldestAgeNanos age of the oldest message in the sum, in ns; 0 if there is
+	 * none
+	 */
+	public record PeerLoads(Map<String, Load> loads, int daemonCount, long oldestAgeNanos) {
+
+		/** No loads of other daemons. */
+		public static final PeerLoads NONE = new PeerLoads(Map.of(), 0, 0);
+
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.layers;
 
 import java.util.List;
+import java.util.stream.Collectors;
 
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.LayerRange;
@@ -9,8 +10,10 @@
  * The stages that one stream runs through, which together cover all layers of the model.
  *
  * @param stages the stages in order of their layers; at least one
+ * @param expectedTokenMs expected time per token, including the share of prompt
+ * processing, in ms
  */
-public record LayerPath(List<Stage> stages) {
+public record LayerPath(List<Stage> stages, double expectedTokenMs) {
 
 	/**
 	 * Returns the endpoint that the request is sent to.
@@ -34,6 +37,30 @@
 		return false;
 	}
 
+	/**
+	 * Returns how often the path changes the data centre.
+	 * @return the number of pairs of successive stages in different data centres
+	 */
+	public int linkCrossings() {
+		int crossings = 0;
+		for (int index = 1; index < this.stages.size(); index++) {
+			String previous = this.stages.get(index - 1).endpoint().dataCentre();
+			crossings += (previous.equals(this.stages.get(index).endpoint().dataCentre())) ? 0 : 1;
+		}
+		return crossings;
+	}
+
+	/**
+	 * Returns the path in a short form for the log.
+	 * @return identity, layers and data centre of each stage, separated by {@code >}
+	 */
+	public String describe() {
+		return this.stages.stream()
+			.map((stage) -> stage.endpoint().id() + ':' + stage.layers().from() + '-' + stage.layers().to() + '@'
+					+ stage.endpoint().dataCentre())
+			.collect(Collectors.joining(">"));
+	}
+
 	/**
 	 * An engine of a path with the layers that it runs.
 	 *
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -110,6 +110,17 @@
 		return search.run();
 	}
 
+	/**
+	 * Returns the layers that none of some endpoints holds, for the log.
+	 * @param candidates endpoints that may be used
+	 * @return ranges such as {@code 0-8}, separated by commas; empty if all are held, so
+	 * that a missing path is due to a lack of capacity or of allowed first stages
+	 */
+	public String missingLayers(List<Endpoint> candidates) {
+		List<LayerRange> ranges = candidates.stream().flatMap((endpoint) -> endpoint.layers().stream()).toList();
+		return new LayerCoverage(this.engine.layers(), ranges).missing();
+	}
+
 	/**
 	 * A state of the search: all layers before a boundary have run, the last of them at
 	 * one endpoint.
@@ -293,6 +304,7 @@
 					index = last;
 				}
 			}
+			double tokenMs = (index < 0) ? 0 : this.best[boundary][index].costMs();
 			Deque<LayerPath.Stage> stages = new ArrayDeque<>();
 			Set<String> usedEndpoints = new HashSet<>();
 			while (index >= 0) {
@@ -306,7 +318,7 @@
 				boundary = arrival.startBoundary();
 				index = arrival.previousEndpoint();
 			}
-			return (stages.isEmpty()) ? Optional.empty() : Optional.of(new LayerPath(new ArrayList<>(stages)));
+			return (stages.isEmpty()) ? Optional.empty() : Optional.of(new LayerPath(new ArrayList<>(stages), tokenMs));
 		}
 
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -65,6 +65,9 @@
 	/** Orders in progress by identity of the endpoint. */
 	private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
 
+	/** Layers that were missing in the last round, by service and data centre. */
+	private final Map<String, String> missingLayers = new HashMap<>();
+
 	/** Elapsed time in ns at which the leadership began; -1 without leadership. */
 	private long leaderSinceNanos = -1;
 
@@ -150,7 +153,29 @@
 		if (isStillGrowing(placements, nowNanos)) {
 			return;
 		}
-		LayerPlanner.plan(engine, placements).forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
+		Map<String, LayerRange> orders = LayerPlanner.plan(engine, placements);
+		logMissingLayers(service, engine, placements, orders.size());
+		orders.forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
+	}
+
+	// Logs for each data centre the layers that no usable engine there holds or loads, if
+	// they have changed, and whether the plan orders anything.
+	private void logMissingLayers(String service, EngineSpec engine, List<LayerPlanner.EnginePlacement> placements,
+			int orderCount) {
+		Map<String, List<LayerRange>> rangesByDataCentre = new HashMap<>();
+		for (LayerPlanner.EnginePlacement placement : placements) {
+			List<LayerRange> ranges = rangesByDataCentre.computeIfAbsent(placement.dataCentre(),
+					(name) -> new ArrayList<>());
+			placement.layers().ifPresent(ranges::add);
+		}
+		rangesByDataCentre.forEach((dataCentre, ranges) -> {
+			String missing = new LayerCoverage(engine.layers(), ranges).missing();
+			String before = this.missingLayers.put(service + "@" + dataCentre, missing);
+			if (before != null && !before.equals(missing)) {
+				EntryLog.write(EntryEvent.LAYERS_MISSING, service, "data_centre", dataCentre, "missing_layers", missing,
+						"engines_with_layers", ranges.size(), "orders_of_all_data_centres", orderCount);
+			}
+		});
 	}
 
 	// A plan for only some of the endpoints would leave no useful range for those that
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -151,7 +151,7 @@
 
 	private void sendRound() {
 		long now = this.elapsedNanos.getAsLong();
-		this.loads.setPeerLoads(this.table.totalLoads(now));
+		this.loads.setPeerLoads(this.table.totalLoads(now), System.nanoTime());
 		this.budget.setDaemonCount(this.table.countBudgetSharers(now));
 		List<PeerTable.Target> targets = this.table.targets();
 		long age = this.configurationFeed.ageNanos(now);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.layers.LayerLoads.Load;
+import org.comfreyslip.entry.layers.LayerLoads.PeerLoads;
 
 /**
  * The other daemons, with their addresses and the last message received from each.
@@ -80,14 +81,19 @@
 	 * @param nowNanos the current elapsed time in ns
 	 * @return the loads by endpoint id or link between two data centres; may be empty
 	 */
-	public Map<String, Load> totalLoads(long nowNanos) {
+	public PeerLoads totalLoads(long nowNanos) {
 		Map<String, Load> sum = new HashMap<>();
+		int daemonCount = 0;
+		long oldestAgeNanos = 0;
 		for (Peer peer : this.peers.values()) {
-			if (peer.hasSentMessage && nowNanos - peer.lastMessageAtNanos < LOAD_VALIDITY_NANOS) {
+			long ageNanos = nowNanos - peer.lastMessageAtNanos;
+			if (peer.hasSentMessage && ageNanos < LOAD_VALIDITY_NANOS) {
 				peer.lastMessage.loads().forEach((id, load) -> sum.merge(id, load, Load::plus));
+				daemonCount++;
+				oldestAgeNanos = Math.max(oldestAgeNanos, ageNanos);
 			}
 		}
-		return sum;
+		return new PeerLoads(sum, daemonCount, oldestAgeNanos);
 	}
 
 	/**
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
@@ -92,7 +92,7 @@
 		Endpoint spare = Samples.endpoint("y", "b", Samples.FAST, new LayerRange(0, 40));
 		Endpoint rest = Samples.endpoint("z", "a", Samples.FAST, new LayerRange(40, 80));
 		assertThat(find(List.of(whole, spare, rest), 100).orElseThrow().firstEndpoint().id()).isEqualTo("x");
-		this.loads.reserve(new LayerPath(List.of(new LayerPath.Stage(whole, new LayerRange(0, 40)))), 10_000);
+		this.loads.reserve(new LayerPath(List.of(new LayerPath.Stage(whole, new LayerRange(0, 40))), 5), 10_000);
 		assertThat(find(List.of(whole, spare, rest), 100).orElseThrow().firstEndpoint().id()).isEqualTo("y");
 	}
 
@@ -101,7 +101,7 @@
 		Endpoint whole = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
 		Endpoint rest = Samples.endpoint("z", "a", Samples.FAST, new LayerRange(40, 80));
 		assertThat(find(List.of(whole, rest), 100)).isPresent();
-		this.loads.setPeerLoads(Map.of("z", new LayerLoads.Load(10_000_000, 80, 0)));
+		this.loads.setPeerLoads(new LayerLoads.PeerLoads(Map.of("z", new LayerLoads.Load(10_000_000, 80, 0)), 1, 0), 0);
 		assertThat(find(List.of(whole, rest), 100)).isEmpty();
 	}
 
@@ -122,7 +122,7 @@
 	@Test
 	void releasingAPathFreesItsReservations() {
 		Endpoint whole = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
-		LayerPath path = new LayerPath(List.of(new LayerPath.Stage(whole, new LayerRange(0, 40))));
+		LayerPath path = new LayerPath(List.of(new LayerPath.Stage(whole, new LayerRange(0, 40))), 5);
 		this.loads.reserve(path, 900);
 		assertThat(this.loads.totalLoad("x")).isEqualTo(new LayerLoads.Load(36_000, 1, 1));
 		this.loads.release(path, 900);
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.layers.LayerLoads.Load;
+import org.comfreyslip.entry.layers.LayerLoads.PeerLoads;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -60,8 +61,8 @@
 	void theLoadsOfAPeerThatSendsNoMoreMessagesDoNotCount() {
 		this.table.onMessage(message("b", 0, 0, Map.of("e", new Load(10, 1, 0))), ADDRESS, 0);
 		this.table.onMessage(message("c", 0, 0, Map.of("e", new Load(5, 1, 1))), ADDRESS, 0);
-		assertThat(this.table.totalLoads(1)).containsEntry("e", new Load(15, 2, 1));
-		assertThat(this.table.totalLoads(TimeUnit.SECONDS.toNanos(3))).isEmpty();
+		assertThat(this.table.totalLoads(1)).isEqualTo(new PeerLoads(Map.of("e", new Load(15, 2, 1)), 2, 1));
+		assertThat(this.table.totalLoads(TimeUnit.SECONDS.toNanos(3))).isEqualTo(PeerLoads.NONE);
 	}
 
 	@Test
