Blame a lost later stage on its own engine, not on the first one

Callers got pauses and refusals after the loss of any engine, although a path over the other engines was left.

Cause: a send that ended because a later engine of its path ended or stalled was handled as a failure of the first engine: the request never went to it again, the daemon avoided it, told its peers to, and the leader planned its layers elsewhere after 1.2 s. The first engine is mostly the fastest one and carries most streams.

Now the cause LATER_STAGE_LOST neither blames nor excludes the first engine, and the stream may go on over another path from there. A stall that names an endpoint which is no later stage of the path counts against the first engine as before.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -488,8 +488,12 @@
 
 	// Ends the current send, excludes its endpoint and dispatches the request again.
 	private void resend(long now, double tookMs, String reason) {
-		this.router.recordMove(id(), this.endpoint.id(), reason);
 		this.excludedEndpoints.add(this.endpoint.id());
+		dispatchAgain(tookMs, reason);
+	}
+
+	private void dispatchAgain(double tookMs, String reason) {
+		this.router.recordMove(id(), this.endpoint.id(), reason);
 		endSend(tookMs);
 		dispatch();
 	}
@@ -511,14 +515,17 @@
 			failRequest("no connection to an endpoint");
 			return;
 		}
-		this.router.faults().recordResponse(endpointId, true);
-		if (cause != SendFailureCause.GARBLED) {
-			this.router.faults().recordFault(endpointId, now);
+		if (cause.isCausedByTarget()) {
+			this.router.faults().recordResponse(endpointId, true);
+			if (cause != SendFailureCause.GARBLED) {
+				this.router.faults().recordFault(endpointId, now);
+			}
+			this.excludedEndpoints.add(endpointId);
 		}
 		this.mayHaveRun = true;
 		this.framer.dropPartialEvent();
 		if (this.admitted.route().mayRunAgain() && recordRunAndTakeRetry()) {
-			resend(now, -1, cause.name());
+			dispatchAgain(-1, cause.name());
 			return;
 		}
 		endSend(-1);
@@ -538,7 +545,7 @@
 		}
 		long now = System.nanoTime();
 		boolean maySendAgain = this.sendCount < maxSends() && this.router.hasRetryLeft(this.admitted.service(), now);
-		if (maySendAgain && hasAlternative(now)) {
+		if (maySendAgain && hasAlternative(cause, now)) {
 			this.connection.abort();
 			onSendFailed(cause);
 		}
@@ -546,7 +553,7 @@
 
 	// Tells whether another endpoint or path can take the request. Records that the
 	// current endpoint may have run it.
-	private boolean hasAlternative(long now) {
+	private boolean hasAlternative(SendFailureCause cause, long now) {
 		String current = this.endpoint.id();
 		this.endpointsThatMayHaveRun.add(current);
 		if (this.path == null) {
@@ -556,7 +563,8 @@
 		}
 		return this.router
 			.findPath(this.admitted, this.reservedTokens,
-					(first) -> !first.id().equals(current) && mayBeFirstStage(first), now)
+					(first) -> !(cause.isCausedByTarget() && first.id().equals(current)) && mayBeFirstStage(first), now)
+			.filter((other) -> !other.stages().equals(this.path.stages()))
 			.isPresent();
 	}
 
@@ -696,8 +704,8 @@
 		EndpointConnection probedConnection = this.connection;
 		this.router.probeStream(this, this.endpoint, (result) -> {
 			this.probeRunning = false;
-			if (!this.finished && probedConnection == this.connection && result != Router.ProbeResult.WORKING) {
-				abandonSend(SendFailureCause.SILENT);
+			if (!this.finished && probedConnection == this.connection) {
+				result.failureCause().ifPresent(this::abandonSend);
 			}
 		});
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -468,7 +468,8 @@
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
 		for (Exchange exchange : new ArrayList<>(this.openExchanges)) {
 			if (exchange.path().filter((path) -> path.usesEndpoint(endpoint.id())).isPresent()) {
-				exchange.abandonSend(SendFailureCause.CLOSED);
+				boolean isFirst = exchange.path().get().firstEndpoint().id().equals(endpoint.id());
+				exchange.abandonSend((isFirst) ? SendFailureCause.CLOSED : SendFailureCause.LATER_STAGE_LOST);
 			}
 		}
 	}
@@ -578,9 +579,8 @@
 	// Probes the first endpoint of a stream's path for whether the stream waits for
 	// another endpoint. Streams with the same first endpoint share one probe.
 	void probeStream(Exchange exchange, Endpoint first, Consumer<ProbeResult> callback) {
-		String id = exchange.id();
 		Consumer<Optional<EngineControl.Report>> onReport = (report) -> callback
-			.accept(evaluateProbe(id, first, report));
+			.accept(evaluateProbe(exchange, first, report));
 		List<Consumer<Optional<EngineControl.Report>>> waiting = this.pendingProbes.get(first.id());
 		if (waiting != null) {
 			waiting.add(onReport);
@@ -591,7 +591,7 @@
 				(report) -> this.pendingProbes.remove(first.id()).forEach((one) -> one.accept(report)));
 	}
 
-	private ProbeResult evaluateProbe(String attemptId, Endpoint first, Optional<EngineControl.Report> report) {
+	private ProbeResult evaluateProbe(Exchange exchange, Endpoint first, Optional<EngineControl.Report> report) {
 		long now = System.nanoTime();
 		ProbeResult result = ProbeResult.WORKING;
 		if (report.isEmpty()) {
@@ -600,14 +600,17 @@
 		}
 		else {
 			for (EngineControl.StalledRequest stalled : report.get().stalledRequests()) {
-				if (stalled.attemptId().equals(attemptId)) {
+				if (stalled.attemptId().equals(exchange.id())) {
 					findByAddress(first.service(), stalled.unresponsiveAddress())
 						.ifPresent((endpoint) -> this.faults.recordFault(endpoint.id(), now));
-					result = ProbeResult.STALLED;
+					boolean onPath = exchange.path()
+						.filter((path) -> path.usesLaterAddress(stalled.unresponsiveAddress()))
+						.isPresent();
+					result = (onPath) ? ProbeResult.STALLED : ProbeResult.STALLED_OFF_PATH;
 				}
 			}
 		}
-		EntryLog.write(EntryEvent.STREAM_INQUIRED, attemptId, "first", first.id(), "verdict", result);
+		EntryLog.write(EntryEvent.STREAM_INQUIRED, exchange.id(), "first", first.id(), "verdict", result);
 		return result;
 	}
 
@@ -638,13 +641,30 @@
 	enum ProbeResult {
 
 		/** The first endpoint reports no stall of the stream. */
-		WORKING,
+		WORKING(null),
 
 		/** The stream waits for another endpoint of its path, which does not respond. */
-		STALLED,
+		STALLED(SendFailureCause.LATER_STAGE_LOST),
+
+		/** The stream waits for an endpoint that is no later stage of its path. */
+		STALLED_OFF_PATH(SendFailureCause.SILENT),
 
 		/** The first endpoint sent no report. */
-		UNREACHABLE
+		UNREACHABLE(SendFailureCause.SILENT);
+
+		private final SendFailureCause failureCause;
+
+		ProbeResult(SendFailureCause failureCause) {
+			this.failureCause = failureCause;
+		}
+
+		/**
+		 * Returns why the send should end.
+		 * @return the cause; empty if it should not
+		 */
+		Optional<SendFailureCause> failureCause() {
+			return Optional.ofNullable(this.failureCause);
+		}
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
@@ -5,6 +5,7 @@
 
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.LayerRange;
+import org.comfreyslip.entry.model.SocketAddresses;
 
 /**
  * The stages that one stream runs through, which together cover all layers of the model.
@@ -37,6 +38,17 @@
 		return false;
 	}
 
+	/**
+	 * Tells whether an endpoint at an address serves a stage after the first one.
+	 * @param address the address, as text
+	 * @return whether a later stage runs there
+	 */
+	public boolean usesLaterAddress(String address) {
+		return this.stages.stream()
+			.skip(1)
+			.anyMatch((stage) -> SocketAddresses.text(stage.endpoint().address()).equals(address));
+	}
+
 	/**
 	 * Returns how often the path changes the data centre.
 	 * @return the number of pairs of successive stages in different data centres
