Do not take an engine that is full or has moved for lost

Callers were refused while engines moved to and fro after a loss.

Cause: EndpointFaults kept one kind of fault. An engine that declined requests for want of room or that no longer held a layer (503, 421), or broke off a response, counted like one whose process had ended: all daemons avoided it for as long, and after 1.2 s the leader planned its layers elsewhere, which took loaded layers away from others.

FaultKind now tells a declined request from an unreachable process. Only the latter is told to other daemons and leads to new placements; the former only makes this daemon avoid the engine for its backoff, as before.

EndpointChoiceTests.anEndpointThatOnlyDeclinesRequestsIsNotTakenForLost is new; with a single kind of fault its second and third check fail (the first test of persistence in that class states the opposite for any fault).

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.fleet;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,32 +40,43 @@
 	 */
 	private static final long NEW_FAULT_GAP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-	private final Map<String, Fault> faults = new HashMap<>();
+	private final Map<FaultKind, Map<String, Fault>> faults = new EnumMap<>(FaultKind.class);
 
 	private final Set<String> unexpectedlyExited = new HashSet<>();
 
 	private final Map<String, Double> failureRates = new HashMap<>();
 
+	/**
+	 * Creates the record without faults.
+	 */
+	public EndpointFaults() {
+		for (FaultKind kind : FaultKind.values()) {
+			this.faults.put(kind, new HashMap<>());
+		}
+	}
+
 	/**
 	 * Records a fault against an endpoint that did not respond or was named as the cause
-	 * of a failure. A fault that continues an earlier one doubles the backoff; one within
-	 * the current backoff changes nothing.
+	 * of a failure. A fault that continues an earlier one of its kind doubles the
+	 * backoff; one within the current backoff changes nothing.
+	 * @param kind what the fault says about the endpoint's process
 	 * @param id identity of the endpoint
 	 * @param nowNanos the current time in ns
 	 */
-	public void recordFault(String id, long nowNanos) {
-		Fault old = continuedFault(id, nowNanos);
+	public void recordFault(FaultKind kind, String id, long nowNanos) {
+		Fault old = continuedFault(kind, id, nowNanos);
 		if (old != null && nowNanos - old.avoidedUntilNanos() < 0) {
 			return;
 		}
 		long backoff = (old != null) ? Math.min(MAX_BACKOFF_NANOS, 2 * old.backoffNanos()) : FIRST_BACKOFF_NANOS;
 		long faultySince = (old != null) ? old.faultySinceNanos() : nowNanos;
-		this.faults.put(id, new Fault(nowNanos + backoff, backoff, true, faultySince));
+		this.faults.get(kind).put(id, new Fault(nowNanos + backoff, backoff, true, faultySince));
 	}
 
-	// Returns the last fault if a failure at the given time continues it, else null.
-	private Fault continuedFault(String id, long nowNanos) {
-		Fault fault = this.faults.get(id);
+	// Returns the last fault of a kind if a failure at the given time continues it, else
+	// null.
+	private Fault continuedFault(FaultKind kind, String id, long nowNanos) {
+		Fault fault = this.faults.get(kind).get(id);
 		return (fault != null && nowNanos - fault.avoidedUntilNanos() < NEW_FAULT_GAP_NANOS) ? fault : null;
 	}
 
@@ -73,7 +85,7 @@
 	 * @param id identity of the endpoint
 	 */
 	public void clearFault(String id) {
-		this.faults.remove(id);
+		this.faults.values().forEach((byId) -> byId.remove(id));
 		this.unexpectedlyExited.remove(id);
 	}
 
@@ -85,7 +97,7 @@
 	 * @param nowNanos the current time in ns
 	 */
 	public void recordConnectionRefused(String id, boolean leaving, long nowNanos) {
-		recordFault(id, nowNanos);
+		recordFault(FaultKind.UNREACHABLE, id, nowNanos);
 		if (!leaving) {
 			this.unexpectedlyExited.add(id);
 		}
@@ -109,22 +121,24 @@
 	 */
 	public void recordPeerReport(String id, long nowNanos) {
 		if (!isAvoided(id, nowNanos)) {
-			Fault old = continuedFault(id, nowNanos);
+			Fault old = continuedFault(FaultKind.UNREACHABLE, id, nowNanos);
 			long faultySince = (old != null) ? old.faultySinceNanos() : nowNanos;
-			this.faults.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, faultySince));
+			this.faults.get(FaultKind.UNREACHABLE)
+				.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, faultySince));
 		}
 	}
 
 	/**
-	 * Returns the endpoints that are avoided because of a fault that this daemon observed
-	 * itself. Only these are sent to other daemons, so that reports do not circulate.
+	 * Returns the endpoints whose process may be lost according to a fault that this
+	 * daemon observed itself. Only these are sent to other daemons, so that reports do
+	 * not circulate.
 	 * @param nowNanos the current time in ns
 	 * @return the identities; may be empty
 	 */
 	public List<String> locallyObservedFaults(long nowNanos) {
 		List<String> ids = new ArrayList<>();
-		this.faults.forEach((id, fault) -> {
-			if (fault.observedLocally() && nowNanos - fault.avoidedUntilNanos() < 0) {
+		this.faults.get(FaultKind.UNREACHABLE).forEach((id, fault) -> {
+			if (fault.observedLocally() && fault.isAvoided(nowNanos)) {
 				ids.add(id);
 			}
 		});
@@ -152,21 +166,26 @@
 	 * @return whether the backoff of its last fault has not ended
 	 */
 	public boolean isAvoided(String id, long nowNanos) {
-		Fault fault = this.faults.get(id);
-		return fault != null && nowNanos - fault.avoidedUntilNanos() < 0;
+		for (Map<String, Fault> byId : this.faults.values()) {
+			Fault fault = byId.get(id);
+			if (fault != null && fault.isAvoided(nowNanos)) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	/**
-	 * Tells whether an endpoint has been faulty for so long that its layers should be
-	 * placed elsewhere.
+	 * Tells whether an endpoint has been unreachable for so long that its layers should
+	 * be placed elsewhere.
 	 * @param id identity of the endpoint
 	 * @param nowNanos the current time in ns
 	 * @return whether it is avoided now and its fault has lasted for at least
 	 * {@link #PERSISTENT_FAULT_NANOS}
 	 */
 	public boolean isPersistentlyFaulty(String id, long nowNanos) {
-		Fault fault = this.faults.get(id);
-		return fault != null && nowNanos - fault.avoidedUntilNanos() < 0
+		Fault fault = this.faults.get(FaultKind.UNREACHABLE).get(id);
+		return fault != null && fault.isAvoided(nowNanos)
 				&& nowNanos - fault.faultySinceNanos() >= PERSISTENT_FAULT_NANOS;
 	}
 
@@ -185,9 +204,8 @@
 	 * @param id identity of the endpoint
 	 */
 	public void forget(String id) {
-		this.faults.remove(id);
+		clearFault(id);
 		this.failureRates.remove(id);
-		this.unexpectedlyExited.remove(id);
 	}
 
 	/**
@@ -199,6 +217,11 @@
 	 * @param faultySinceNanos when the first failure of this fault was recorded, in ns
 	 */
 	private record Fault(long avoidedUntilNanos, long backoffNanos, boolean observedLocally, long faultySinceNanos) {
+
+		boolean isAvoided(long nowNanos) {
+			return nowNanos - this.avoidedUntilNanos < 0;
+		}
+
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -506,7 +506,7 @@
 		long now = System.nanoTime();
 		String endpointId = this.endpoint.id();
 		if (cause == SendFailureCause.NOT_CONNECTED) {
-			this.router.faults().recordFault(endpointId, now);
+			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
 				resend(now, -1, "no connection");
 				return;
@@ -517,9 +517,7 @@
 		}
 		if (cause.isCausedByTarget()) {
 			this.router.faults().recordResponse(endpointId, true);
-			if (cause != SendFailureCause.GARBLED) {
-				this.router.faults().recordFault(endpointId, now);
-			}
+			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			this.excludedEndpoints.add(endpointId);
 		}
 		this.mayHaveRun = true;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -24,6 +24,7 @@
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.fleet.EndpointDirectory;
 import org.comfreyslip.entry.fleet.EndpointFaults;
+import org.comfreyslip.entry.fleet.FaultKind;
 import org.comfreyslip.entry.fleet.LeastWaitSelector;
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
@@ -548,7 +549,7 @@
 		Endpoint faulty = findByAddress(target.service(), faultyAddress).orElse(target);
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, faulty.id(), "asked", target.id(), "status", status);
 		this.metrics.increment(EntryMetrics.Count.ENDPOINTS_BLAMED);
-		this.faults.recordFault(faulty.id(), nowNanos);
+		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
 		return !faulty.id().equals(target.id());
 	}
 
@@ -595,14 +596,14 @@
 		long now = System.nanoTime();
 		ProbeResult result = ProbeResult.WORKING;
 		if (report.isEmpty()) {
-			this.faults.recordFault(first.id(), now);
+			this.faults.recordFault(FaultKind.UNREACHABLE, first.id(), now);
 			result = ProbeResult.UNREACHABLE;
 		}
 		else {
 			for (EngineControl.StalledRequest stalled : report.get().stalledRequests()) {
 				if (stalled.attemptId().equals(exchange.id())) {
 					findByAddress(first.service(), stalled.unresponsiveAddress())
-						.ifPresent((endpoint) -> this.faults.recordFault(endpoint.id(), now));
+						.ifPresent((endpoint) -> this.faults.recordFault(FaultKind.UNREACHABLE, endpoint.id(), now));
 					boolean onPath = exchange.path()
 						.filter((path) -> path.usesLaterAddress(stalled.unresponsiveAddress()))
 						.isPresent();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
@@ -1,34 +1,41 @@
 package org.comfreyslip.entry.http;
 
+import java.util.Optional;
+
+import org.comfreyslip.entry.fleet.FaultKind;
+
 /**
  * Why a send to an endpoint ended without a complete response.
  */
 public enum SendFailureCause {
 
 	/** No connection was opened, so the endpoint has not seen the request. */
-	NOT_CONNECTED(false, true),
+	NOT_CONNECTED(false, true, FaultKind.UNREACHABLE),
 
 	/** The connection was closed. */
-	CLOSED(true, true),
+	CLOSED(true, true, FaultKind.DECLINED),
 
 	/**
 	 * The bytes received are not a valid response, or not the response to this request.
 	 */
-	GARBLED(true, true),
+	GARBLED(true, true, null),
 
 	/** The endpoint sent nothing for too long. */
-	SILENT(true, true),
+	SILENT(true, true, FaultKind.UNREACHABLE),
 
 	/** A later endpoint of the path ended or does not respond. */
-	LATER_STAGE_LOST(true, false);
+	LATER_STAGE_LOST(true, false, null);
 
 	private final boolean mayHaveRun;
 
 	private final boolean causedByTarget;
 
-	SendFailureCause(boolean mayHaveRun, boolean causedByTarget) {
+	private final FaultKind fault;
+
+	SendFailureCause(boolean mayHaveRun, boolean causedByTarget, FaultKind fault) {
 		this.mayHaveRun = mayHaveRun;
 		this.causedByTarget = causedByTarget;
+		this.fault = fault;
 	}
 
 	/**
@@ -39,6 +46,14 @@
 		return this.mayHaveRun;
 	}
 
+	/**
+	 * Returns the fault to record against the endpoint that the request was sent to.
+	 * @return the kind of fault; empty if there is none to record
+	 */
+	public Optional<FaultKind> fault() {
+		return Optional.ofNullable(this.fault);
+	}
+
 	/**
 	 * Tells whether the endpoint that the request was sent to caused the failure. If not,
 	 * it may serve the request over another path.
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -59,17 +59,17 @@
 
 	@Test
 	void aFaultyEndpointIsTheLastChoiceUntilItsBackoffEnds() {
-		this.faults.recordFault("a", 0);
-		this.faults.recordFault("b", 0);
+		this.faults.recordFault(FaultKind.UNREACHABLE, "a", 0);
+		this.faults.recordFault(FaultKind.UNREACHABLE, "b", 0);
 		assertThat(choose(1)).isEqualTo("c");
 		assertThat(this.faults.isAvoided("a", TimeUnit.SECONDS.toNanos(1))).isFalse();
 	}
 
 	@Test
 	void aFaultIsPersistentOnlyAfterSomeTimeWithoutSuccess() {
-		this.faults.recordFault("a", 0);
+		this.faults.recordFault(FaultKind.UNREACHABLE, "a", 0);
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(500))).isFalse();
-		this.faults.recordFault("a", TimeUnit.MILLISECONDS.toNanos(700));
+		this.faults.recordFault(FaultKind.UNREACHABLE, "a", TimeUnit.MILLISECONDS.toNanos(700));
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_300))).isTrue();
 		this.faults.recordResponse("a", false);
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_300))).isFalse();
@@ -83,10 +83,21 @@
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_600))).isTrue();
 	}
 
+	// Guards against layers that are planned elsewhere because their engine is full.
+	@Test
+	void anEndpointThatOnlyDeclinesRequestsIsNotTakenForLost() {
+		for (long atMs = 0; atMs <= 3_000; atMs += 100) {
+			this.faults.recordFault(FaultKind.DECLINED, "a", TimeUnit.MILLISECONDS.toNanos(atMs));
+		}
+		assertThat(this.faults.isAvoided("a", TimeUnit.MILLISECONDS.toNanos(3_000))).isTrue();
+		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(3_000))).isFalse();
+		assertThat(this.faults.locallyObservedFaults(TimeUnit.MILLISECONDS.toNanos(3_000))).isEmpty();
+	}
+
 	@Test
 	void aFailureLongAfterAnotherStartsANewFault() {
-		this.faults.recordFault("a", 0);
-		this.faults.recordFault("a", TimeUnit.SECONDS.toNanos(20));
+		this.faults.recordFault(FaultKind.UNREACHABLE, "a", 0);
+		this.faults.recordFault(FaultKind.UNREACHABLE, "a", TimeUnit.SECONDS.toNanos(20));
 		assertThat(this.faults.isAvoided("a", TimeUnit.SECONDS.toNanos(20) + 1)).isTrue();
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.SECONDS.toNanos(20) + 1)).isFalse();
 	}
@@ -116,7 +127,7 @@
 		this.faults.recordPeerReport("a", 0);
 		assertThat(this.faults.isAvoided("a", 1)).isTrue();
 		assertThat(this.faults.locallyObservedFaults(1)).isEmpty();
-		this.faults.recordFault("b", 0);
+		this.faults.recordFault(FaultKind.UNREACHABLE, "b", 0);
 		assertThat(this.faults.locallyObservedFaults(1)).containsExactly("b");
 	}
 
