Keep an unreachable engine avoided until it responds or is checked again

Callers lost streams to engines that had ended seconds before, and the planner moved engines to and fro.

Cause: the backoff of an ended engine (0.6, 1.2, 2.4 s) ran out between two checks of its address, each a second apart, and the report of another daemon counted for 0.3 s though the next one came after up to 2.5 s.

Now a refused connection counts until the next check, a report until the next message of its sender, and an engine that is being tried again counts as lost until the trial has failed or succeeded. Since reports last longer, one about an engine that has just completed a request of this daemon is ignored: the sender may have lost its own network.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -31,6 +31,24 @@
 	 */
 	private static final long PERSISTENT_FAULT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
+	/**
+	 * Time for which an endpoint that refused a connection is avoided, in ns; longer than
+	 * the interval at which its address is checked again.
+	 */
+	private static final long REFUSED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	/**
+	 * Time after a backoff in which a trial of an unreachable endpoint may still be
+	 * running, in ns.
+	 */
+	private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * Age up to which a success outweighs the report of another daemon, in ns; longer
+	 * than most gaps between the requests to an endpoint in use.
+	 */
+	private static final long RECENT_SUCCESS_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/** Weight of the newest response in the moving average of the failure rate. */
 	private static final double FAILURE_RATE_WEIGHT = 0.15;
 
@@ -44,6 +62,9 @@
 
 	private final Set<String> unexpectedlyExited = new HashSet<>();
 
+	/** Time in ns at which the last request was completed, by endpoint. */
+	private final Map<String, Long> lastSuccessNanos = new HashMap<>();
+
 	private final Map<String, Double> failureRates = new HashMap<>();
 
 	/**
@@ -70,7 +91,7 @@
 		}
 		long backoff = (old != null) ? Math.min(MAX_BACKOFF_NANOS, 2 * old.backoffNanos()) : FIRST_BACKOFF_NANOS;
 		long faultySince = (old != null) ? old.faultySinceNanos() : nowNanos;
-		this.faults.get(kind).put(id, new Fault(nowNanos + backoff, backoff, true, faultySince));
+		this.faults.get(kind).put(id, new Fault(nowNanos + backoff, backoff, true, faultySince, nowNanos));
 	}
 
 	// Returns the last fault of a kind if a failure at the given time continues it, else
@@ -81,10 +102,16 @@
 	}
 
 	/**
-	 * Clears the fault of an endpoint that completed a request or a stream.
+	 * Records that an endpoint completed a request or a stream, which clears its faults.
 	 * @param id identity of the endpoint
+	 * @param nowNanos the current time in ns
 	 */
-	public void clearFault(String id) {
+	public void recordSuccess(String id, long nowNanos) {
+		clearFaults(id);
+		this.lastSuccessNanos.put(id, nowNanos);
+	}
+
+	private void clearFaults(String id) {
 		this.faults.values().forEach((byId) -> byId.remove(id));
 		this.unexpectedlyExited.remove(id);
 	}
@@ -97,7 +124,7 @@
 	 * @param nowNanos the current time in ns
 	 */
 	public void recordConnectionRefused(String id, boolean leaving, long nowNanos) {
-		recordFault(FaultKind.UNREACHABLE, id, nowNanos);
+		extendFault(id, REFUSED_BACKOFF_NANOS, true, nowNanos);
 		if (!leaving) {
 			this.unexpectedlyExited.add(id);
 		}
@@ -114,18 +141,36 @@
 	}
 
 	/**
-	 * Records that another daemon observed a fault of an endpoint. The endpoint is
-	 * avoided for half of the initial backoff, unless it is being avoided already.
+	 * Records that another daemon observed a fault of an endpoint. Has no effect on an
+	 * endpoint that this daemon avoids itself, or that has just completed a request of
+	 * this daemon: the other one may have lost its own network.
 	 * @param id identity of the endpoint
+	 * @param validNanos time for which the endpoint is avoided, in ns: until the next
+	 * message of that daemon is due
 	 * @param nowNanos the current time in ns
 	 */
-	public void recordPeerReport(String id, long nowNanos) {
-		if (!isAvoided(id, nowNanos)) {
-			Fault old = continuedFault(FaultKind.UNREACHABLE, id, nowNanos);
-			long faultySince = (old != null) ? old.faultySinceNanos() : nowNanos;
-			this.faults.get(FaultKind.UNREACHABLE)
-				.put(id, new Fault(nowNanos + FIRST_BACKOFF_NANOS / 2, FIRST_BACKOFF_NANOS, false, faultySince));
+	public void recordPeerReport(String id, long validNanos, long nowNanos) {
+		if (!locallyObservedFaults(nowNanos).contains(id) && !hasRecentSuccess(id, nowNanos)) {
+			extendFault(id, validNanos, false, nowNanos);
+		}
+	}
+
+	private boolean hasRecentSuccess(String id, long nowNanos) {
+		Long success = this.lastSuccessNanos.get(id);
+		return success != null && nowNanos - success < RECENT_SUCCESS_NANOS;
+	}
+
+	// Records that an endpoint is unreachable, and that it is avoided at least until the
+	// given time has passed.
+	private void extendFault(String id, long backoffNanos, boolean observedLocally, long nowNanos) {
+		Fault old = continuedFault(FaultKind.UNREACHABLE, id, nowNanos);
+		long untilNanos = nowNanos + backoffNanos;
+		if (old != null && old.avoidedUntilNanos() - untilNanos > 0) {
+			untilNanos = old.avoidedUntilNanos();
 		}
+		long faultySince = (old != null) ? old.faultySinceNanos() : nowNanos;
+		this.faults.get(FaultKind.UNREACHABLE)
+			.put(id, new Fault(untilNanos, FIRST_BACKOFF_NANOS, observedLocally, faultySince, nowNanos));
 	}
 
 	/**
@@ -150,10 +195,11 @@
 	 * fault.
 	 * @param id identity of the endpoint
 	 * @param failed whether the endpoint failed the request
+	 * @param nowNanos the current time in ns
 	 */
-	public void recordResponse(String id, boolean failed) {
+	public void recordResponse(String id, boolean failed, long nowNanos) {
 		if (!failed) {
-			clearFault(id);
+			recordSuccess(id, nowNanos);
 		}
 		this.failureRates.merge(id, (failed) ? FAILURE_RATE_WEIGHT : 0.0,
 				(old, fresh) -> old * (1 - FAILURE_RATE_WEIGHT) + fresh);
@@ -180,13 +226,16 @@
 	 * be placed elsewhere.
 	 * @param id identity of the endpoint
 	 * @param nowNanos the current time in ns
-	 * @return whether it is avoided now and its fault has lasted for at least
-	 * {@link #PERSISTENT_FAULT_NANOS}
+	 * @return whether its fault has lasted for at least {@link #PERSISTENT_FAULT_NANOS},
+	 * and it is avoided now or may just be tried again
 	 */
 	public boolean isPersistentlyFaulty(String id, long nowNanos) {
 		Fault fault = this.faults.get(FaultKind.UNREACHABLE).get(id);
-		return fault != null && fault.isAvoided(nowNanos)
-				&& nowNanos - fault.faultySinceNanos() >= PERSISTENT_FAULT_NANOS;
+		if (fault == null || nowNanos - fault.faultySinceNanos() < PERSISTENT_FAULT_NANOS) {
+			return false;
+		}
+		boolean repeated = fault.lastFailureNanos() - fault.faultySinceNanos() > 0;
+		return fault.isAvoided(nowNanos) || (repeated && fault.isAvoided(nowNanos - TRIAL_NANOS));
 	}
 
 	/**
@@ -204,7 +253,8 @@
 	 * @param id identity of the endpoint
 	 */
 	public void forget(String id) {
-		clearFault(id);
+		clearFaults(id);
+		this.lastSuccessNanos.remove(id);
 		this.failureRates.remove(id);
 	}
 
@@ -215,8 +265,10 @@
 	 * @param backoffNanos length of the backoff, in ns
 	 * @param observedLocally whether this daemon observed the fault itself
 	 * @param faultySinceNanos when the first failure of this fault was recorded, in ns
+	 * @param lastFailureNanos when its last failure was recorded, in ns
 	 */
-	private record Fault(long avoidedUntilNanos, long backoffNanos, boolean observedLocally, long faultySinceNanos) {
+	private record Fault(long avoidedUntilNanos, long backoffNanos, boolean observedLocally, long faultySinceNanos,
+			long lastFailureNanos) {
 
 		boolean isAvoided(long nowNanos) {
 			return nowNanos - this.avoidedUntilNanos < 0;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -415,9 +415,10 @@
 			onSendFailed(SendFailureCause.GARBLED);
 			return;
 		}
-		this.router.faults().recordResponse(this.endpoint.id(), false);
-		path().ifPresent(
-				(used) -> used.stages().forEach((stage) -> this.router.faults().clearFault(stage.endpoint().id())));
+		long now = System.nanoTime();
+		this.router.faults().recordResponse(this.endpoint.id(), false, now);
+		path().ifPresent((used) -> used.stages()
+			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
 		startStreamIfNeeded();
 		finish(Outcome.SERVED, "stream");
 		this.caller.endStreamedResponse();
@@ -437,7 +438,7 @@
 			return;
 		}
 		boolean failed = status >= 500;
-		this.router.faults().recordResponse(this.endpoint.id(), failed);
+		this.router.faults().recordResponse(this.endpoint.id(), failed, now);
 		if (failed && this.admitted.route().mayRunAgain() && !this.streamStarted && recordRunAndTakeRetry()) {
 			this.mayHaveRun = true;
 			resend(now, (now - this.sentAtNanos) / 1e6, "status " + status);
@@ -516,7 +517,7 @@
 			return;
 		}
 		if (cause.isCausedByTarget()) {
-			this.router.faults().recordResponse(endpointId, true);
+			this.router.faults().recordResponse(endpointId, true, now);
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			this.excludedEndpoints.add(endpointId);
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -130,7 +130,8 @@
 					confirmation.confirmedAtNanos()));
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
-		message.unreachableEndpoints().forEach((id) -> this.faults.recordPeerReport(id, System.nanoTime()));
+		long validNanos = TimeUnit.MILLISECONDS.toNanos(PeerSchedule.reportValidityMs(this.table.intervalMs(message)));
+		message.unreachableEndpoints().forEach((id) -> this.faults.recordPeerReport(id, validNanos, System.nanoTime()));
 	}
 
 	private void sendRound() {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
@@ -39,6 +39,12 @@
 	 */
 	private static final int VALIDITY_INTERVALS = 3;
 
+	/**
+	 * Number of intervals for which a reported fault counts: until the next message has
+	 * arrived, also if it is late.
+	 */
+	private static final double REPORT_INTERVALS = 1.5;
+
 	private PeerSchedule() {
 	}
 
@@ -69,4 +75,13 @@
 		return Math.max(MIN_VALIDITY_MS, VALIDITY_INTERVALS * intervalMs);
 	}
 
+	/**
+	 * Returns how long the faults in a message count.
+	 * @param intervalMs interval at which the sender sends messages, in ms
+	 * @return the time since the message arrived, in ms
+	 */
+	static long reportValidityMs(long intervalMs) {
+		return Math.round(REPORT_INTERVALS * intervalMs);
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -107,6 +107,17 @@
 		return peer.hasSentMessage && peer.lastMessage.dataCentre().equals(this.dataCentre);
 	}
 
+	/**
+	 * Returns the interval at which the sender of a message sends messages to this
+	 * daemon.
+	 * @param message the message
+	 * @return the interval, in ms, if the sender knows as many daemons as this one
+	 */
+	public long intervalMs(PeerMessage message) {
+		return (message.dataCentre().equals(this.dataCentre)) ? PeerSchedule.localIntervalMs(countLocalPeers())
+				: PeerSchedule.remoteIntervalMs(this.peers.size());
+	}
+
 	/**
 	 * Returns the number of other daemons in this daemon's data centre.
 	 * @return the number of peers there that have sent a message
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -71,14 +71,14 @@
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(500))).isFalse();
 		this.faults.recordFault(FaultKind.UNREACHABLE, "a", TimeUnit.MILLISECONDS.toNanos(700));
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_300))).isTrue();
-		this.faults.recordResponse("a", false);
+		this.faults.recordResponse("a", false, TimeUnit.MILLISECONDS.toNanos(1_300));
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_300))).isFalse();
 	}
 
 	@Test
 	void aFaultThatOnlyOtherDaemonsReportBecomesPersistentToo() {
 		for (long atMs = 0; atMs <= 1_600; atMs += 200) {
-			this.faults.recordPeerReport("a", TimeUnit.MILLISECONDS.toNanos(atMs));
+			this.faults.recordPeerReport("a", TimeUnit.MILLISECONDS.toNanos(300), TimeUnit.MILLISECONDS.toNanos(atMs));
 		}
 		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(1_600))).isTrue();
 	}
@@ -94,6 +94,52 @@
 		assertThat(this.faults.locallyObservedFaults(TimeUnit.MILLISECONDS.toNanos(3_000))).isEmpty();
 	}
 
+	// Guards against a lost engine that counts as sound again between two backoffs.
+	@Test
+	void anEndpointThatKeepsRefusingConnectionsStaysAvoidedAndLost() {
+		for (long atMs = 0; atMs <= 8_000; atMs += 100) {
+			if (atMs % 1_200 == 0) {
+				this.faults.recordConnectionRefused("a", false, TimeUnit.MILLISECONDS.toNanos(atMs));
+			}
+			assertThat(this.faults.isAvoided("a", TimeUnit.MILLISECONDS.toNanos(atMs))).isTrue();
+			assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(atMs)))
+				.isEqualTo(atMs >= 1_200);
+		}
+		assertThat(this.faults.isAvoided("a", TimeUnit.MILLISECONDS.toNanos(10_000))).isFalse();
+	}
+
+	@Test
+	void aLostEndpointThatIsTriedAgainStaysLostUntilTheTrialFails() {
+		for (long atMs : List.of(0, 900, 2_500)) {
+			this.faults.recordFault(FaultKind.UNREACHABLE, "a", TimeUnit.MILLISECONDS.toNanos(atMs));
+		}
+		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(5_200))).isTrue();
+		assertThat(this.faults.isPersistentlyFaulty("a", TimeUnit.MILLISECONDS.toNanos(6_500))).isFalse();
+	}
+
+	@Test
+	void anEndpointThatADistantDaemonReportsIsAvoidedUntilItsNextMessage() {
+		long intervalMs = 2_500;
+		for (long atMs = 0; atMs <= 7_500; atMs += 100) {
+			long nowNanos = TimeUnit.MILLISECONDS.toNanos(atMs);
+			if (atMs % intervalMs == 0) {
+				this.faults.recordPeerReport("a", TimeUnit.MILLISECONDS.toNanos(intervalMs) + 1, nowNanos);
+			}
+			assertThat(this.faults.isAvoided("a", nowNanos)).isTrue();
+		}
+	}
+
+	// Guards against a daemon that lost its own network and makes all others avoid sound
+	// endpoints.
+	@Test
+	void aRecentSuccessOutweighsTheReportOfAnotherDaemon() {
+		this.faults.recordSuccess("a", TimeUnit.MILLISECONDS.toNanos(1_000));
+		this.faults.recordPeerReport("a", TimeUnit.SECONDS.toNanos(2), TimeUnit.MILLISECONDS.toNanos(1_500));
+		assertThat(this.faults.isAvoided("a", TimeUnit.MILLISECONDS.toNanos(1_600))).isFalse();
+		this.faults.recordPeerReport("a", TimeUnit.SECONDS.toNanos(2), TimeUnit.MILLISECONDS.toNanos(2_500));
+		assertThat(this.faults.isAvoided("a", TimeUnit.MILLISECONDS.toNanos(2_600))).isTrue();
+	}
+
 	@Test
 	void aFailureLongAfterAnotherStartsANewFault() {
 		this.faults.recordFault(FaultKind.UNREACHABLE, "a", 0);
@@ -106,7 +152,7 @@
 	void aCompletedStreamClearsTheFaultOfItsEngine() {
 		this.faults.recordConnectionRefused("a", false, 0);
 		assertThat(this.faults.hasExitedUnexpectedly("a")).isTrue();
-		this.faults.clearFault("a");
+		this.faults.recordSuccess("a", 0);
 		assertThat(this.faults.hasExitedUnexpectedly("a")).isFalse();
 		assertThat(this.faults.isAvoided("a", 1)).isFalse();
 	}
@@ -124,7 +170,7 @@
 
 	@Test
 	void faultsReportedByOtherDaemonsAreNotForwarded() {
-		this.faults.recordPeerReport("a", 0);
+		this.faults.recordPeerReport("a", TimeUnit.MILLISECONDS.toNanos(300), 0);
 		assertThat(this.faults.isAvoided("a", 1)).isTrue();
 		assertThat(this.faults.locallyObservedFaults(1)).isEmpty();
 		this.faults.recordFault(FaultKind.UNREACHABLE, "b", 0);
