Limit only what the other daemons have not heard of yet

Cause: a daemon took at most an even part of what was free in another data centre or on a link, for all its streams there. The daemons of one data centre need more than their part when it is the only one without a path, and the others then use nothing of theirs.

The part now limits what a daemon has taken since it last told the others, which is what they cannot know. It is twice the even part, since daemons seldom use up their parts at the same time.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
@@ -10,8 +10,17 @@
  */
 public final class LayerLoads {
 
+	/**
+	 * Factor on the even part of a daemon, since the daemons seldom use up their parts at
+	 * the same time.
+	 */
+	private static final double PART_FACTOR = 2;
+
 	private final Map<String, Load> ownLoads = new HashMap<>();
 
+	/** Own loads that were added since the daemons of all data centres were told. */
+	private final Map<String, Load> unreportedLoads = new HashMap<>();
+
 	private PeerLoads peerLoads = PeerLoads.NONE;
 
 	/** Steady time in ns of the oldest message that the peers' loads are taken from. */
@@ -52,6 +61,9 @@
 	}
 
 	private void addOwnLoad(String id, Load change) {
+		if (change.streamCount() > 0) {
+			this.unreportedLoads.merge(id, change, Load::plus);
+		}
 		Load sum = this.ownLoads.getOrDefault(id, Load.NONE).plus(change);
 		if (sum.streamCount() <= 0) {
 			this.ownLoads.remove(id);
@@ -118,11 +130,19 @@
 		return this.ownLoads.getOrDefault(id, Load.NONE).plus(this.peerLoads.loads().getOrDefault(id, Load.NONE));
 	}
 
+	/**
+	 * Records that the own loads have been sent to the daemons of all data centres.
+	 */
+	public void markReported() {
+		this.unreportedLoads.clear();
+	}
+
 	/**
 	 * Returns how much of an engine or link this daemon may still take where the loads of
-	 * the other daemons are known only with a long delay. Each daemon takes an even part
-	 * of what the others leave, so that together they do not take much more than there
-	 * is. The first stream may take all of it, since a part may be too small for one.
+	 * the other daemons are known only with a long delay. Until it has told the others,
+	 * it takes no more than about an even part of what was free when it told them last,
+	 * so that together they do not take much more than there is. The first stream may
+	 * take all of it, since a part may be too small for one.
 	 * @param capacity what the engine or link can carry
 	 * @param measure the component of the loads that the capacity limits
 	 * @param id identity of the endpoint, or key of the link
@@ -130,9 +150,13 @@
 	 * negative
 	 */
 	double ownPartLeft(double capacity, ToLongFunction<Load> measure, String id) {
-		double left = capacity - measure.applyAsLong(this.peerLoads.loads().getOrDefault(id, Load.NONE));
-		long own = measure.applyAsLong(this.ownLoads.getOrDefault(id, Load.NONE));
-		return (own > 0) ? left / (1 + this.peerLoads.daemonCount()) - own : left;
+		double free = capacity - measure.applyAsLong(totalLoad(id));
+		long unreported = measure.applyAsLong(this.unreportedLoads.getOrDefault(id, Load.NONE));
+		if (unreported == 0) {
+			return free;
+		}
+		double part = PART_FACTOR * (free + unreported) / (1 + this.peerLoads.daemonCount());
+		return Math.min(free, part - unreported);
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -143,6 +143,7 @@
 		List<String> unreachable = new ArrayList<>(this.faults.locallyObservedFaults(System.nanoTime()));
 		boolean includeRemote = now - this.nextRemoteRoundNanos >= 0;
 		if (includeRemote) {
+			this.loads.markReported();
 			this.nextRemoteRoundNanos = now
 					+ TimeUnit.MILLISECONDS.toNanos(PeerSchedule.remoteIntervalMs(targets.size()));
 		}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/Samples.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/Samples.java
@@ -69,6 +69,19 @@
 		return engines;
 	}
 
+	/**
+	 * Returns 39 engines without layers in three data centres, as in the first
+	 * deployments; each can hold the model alone.
+	 * @return the engines, in no particular order
+	 */
+	public static List<Endpoint> fewEmptyEngines() {
+		List<Endpoint> engines = new ArrayList<>();
+		addEngines(engines, "a", Map.of(MIDDLE, 1, SLOW, 8, SMALL, 3));
+		addEngines(engines, "b", Map.of(MIDDLE, 2, SLOW, 4, SMALL, 7));
+		addEngines(engines, "c", Map.of(FAST, 1, MIDDLE, 1, SLOW, 5, SMALL, 7));
+		return engines;
+	}
+
 	private static void addEngines(List<Endpoint> engines, String dataCentre, Map<AcceleratorKind, Integer> counts) {
 		counts.forEach((kind, count) -> {
 			for (int index = 0; index < count; index++) {
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/DelayedLoadsTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/DelayedLoadsTests.java
@@ -25,24 +25,23 @@
  */
 class DelayedLoadsTests {
 
-	private static final int DAEMONS = 78;
+	private static final int MANY_DAEMONS = 78;
+
+	private static final int FEW_DAEMONS = 8;
 
 	private static final List<String> DATA_CENTRES = List.of("a", "b", "c");
 
-	private static final double STREAMS_PER_SECOND = 123;
+	/** Streams that all daemons together start in a second, by number of daemons. */
+	private static final Map<Integer, Integer> STREAMS_PER_SECOND = Map.of(MANY_DAEMONS, 123, FEW_DAEMONS, 45);
 
 	private static final int TOKENS = 932;
 
 	/** Duration of a stream, in ms. */
 	private static final long STREAM_MS = 2_500;
 
-	private static final long LOCAL_INTERVAL_MS = PeerSchedule.localIntervalMs(DAEMONS / 3 - 1);
-
-	private static final long REMOTE_INTERVAL_MS = PeerSchedule.remoteIntervalMs(DAEMONS - 1);
-
 	private static final long PLAYED_MS = 20_000;
 
-	private final EngineSpec engine = Samples.manyEngines();
+	private EngineSpec engine = Samples.manyEngines();
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
 
@@ -64,8 +63,8 @@
 
 	private int refused;
 
-	private void play(List<Endpoint> engines) {
-		for (int index = 0; index < DAEMONS; index++) {
+	private void play(List<Endpoint> engines, int daemonCount) {
+		for (int index = 0; index < daemonCount; index++) {
 			this.daemons.add(new Daemon(DATA_CENTRES.get(index % DATA_CENTRES.size())));
 		}
 		for (long nowMs = 0; nowMs < PLAYED_MS; nowMs++) {
@@ -73,11 +72,11 @@
 				this.endTimesMs.remove();
 				this.ends.remove().run();
 			}
-			for (int index = 0; index < DAEMONS; index++) {
+			for (int index = 0; index < daemonCount; index++) {
 				this.daemons.get(index).exchangeLoads(nowMs + index * 31);
 			}
-			if (this.random.nextDouble() < STREAMS_PER_SECOND / TimeUnit.SECONDS.toMillis(1)) {
-				this.daemons.get(this.random.nextInt(DAEMONS)).startStream(engines, nowMs);
+			if (this.random.nextInt(1_000) < STREAMS_PER_SECOND.get(daemonCount)) {
+				this.daemons.get(this.random.nextInt(daemonCount)).startStream(engines, nowMs);
 			}
 		}
 	}
@@ -99,7 +98,7 @@
 
 	@Test
 	void noEngineIsGivenMoreStreamsThanItHasSlotsWhileEachDataCentreHoldsTheModel() {
-		play(Samples.place(this.engine, Samples.manyEmptyEngines()));
+		play(Samples.place(this.engine, Samples.manyEmptyEngines()), MANY_DAEMONS);
 		assertThat(this.refused).isZero();
 		assertThat(this.mostOpenAtFirst).isLessThanOrEqualTo(this.engine.slots());
 		assertThat(mostTransferMsPerMs()).isLessThan(1);
@@ -113,10 +112,23 @@
 				.filter((range) -> (endpoint.dataCentre().equals("b")) ? range.from() < 40 : range.to() > 30)
 				.isPresent())
 			.toList();
-		play(engines);
+		play(engines, MANY_DAEMONS);
 		assertThat(mostTransferMsPerMs()).isPositive().isLessThan(1);
 	}
 
+	// Guards against refusals of what the engines of other data centres could serve.
+	@Test
+	void theStreamsOfADataCentreThatLostItsPathAreServedByTheOthers() {
+		this.engine = Samples.engine();
+		List<Endpoint> engines = Samples.place(this.engine, Samples.fewEmptyEngines())
+			.stream()
+			.filter((endpoint) -> !(endpoint.dataCentre().equals("c") && endpoint.layers().get().contains(40)))
+			.toList();
+		play(engines, FEW_DAEMONS);
+		assertThat(this.refused).isZero();
+		assertThat(this.mostOpenAtFirst).isLessThanOrEqualTo(this.engine.slots());
+	}
+
 	private final class Daemon {
 
 		private final String dataCentre;
@@ -134,10 +146,12 @@
 		}
 
 		void exchangeLoads(long nowMs) {
-			if (nowMs % REMOTE_INTERVAL_MS == 0) {
+			int daemonCount = DelayedLoadsTests.this.daemons.size();
+			if (nowMs % PeerSchedule.remoteIntervalMs(daemonCount - 1) == 0) {
 				this.sent.put(false, Map.copyOf(this.loads.ownLoads()));
+				this.loads.markReported();
 			}
-			if (nowMs % LOCAL_INTERVAL_MS != 0) {
+			if (nowMs % PeerSchedule.localIntervalMs(daemonCount / DATA_CENTRES.size()) != 0) {
 				return;
 			}
 			this.sent.put(true, Map.copyOf(this.loads.ownLoads()));
@@ -148,7 +162,7 @@
 						.forEach((id, load) -> sum.merge(id, load, LayerLoads.Load::plus));
 				}
 			}
-			this.loads.setPeerLoads(new LayerLoads.PeerLoads(sum, DAEMONS - 1, 0),
+			this.loads.setPeerLoads(new LayerLoads.PeerLoads(sum, daemonCount - 1, 0),
 					TimeUnit.MILLISECONDS.toNanos(nowMs));
 		}
 
