Plan as many replicas as fit beside the KV cache for all slots

Cause: the planner aimed at 1.25 replicas of each layer whatever the memory. The grown deployment has memory for five; 3/4 of it held neither weights nor KV cache. Engines held 2 to 3 layers each, a path had 23 to 27 stages, and most layers had one holder, so that one lost engine broke the streams of its data centre, and its layers had to be loaded anew.

Now weights take what the KV cache for all slots of an engine, with streams of mean length, leaves, but at least 1.25 replicas where the memory allows it. On the first deployments that is what it was.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -21,10 +21,10 @@
 public final class LayerPlanner {
 
 	/**
-	 * Average number of replicas of each layer to plan for in one group. More replicas
-	 * leave too little KV cache for the usual streams.
+	 * Least average number of replicas of each layer to plan for in one group, if the
+	 * memory allows it. There are more where the KV cache for all slots fits beside them.
 	 */
-	static final double TARGET_REPLICAS = 1.25;
+	static final double MIN_REPLICAS = 1.25;
 
 	/**
 	 * Largest share of a host's memory that model weights may take; the rest holds the KV
@@ -153,7 +153,12 @@
 		for (EnginePlacement placement : group) {
 			layers += placement.kind().memoryMb() / engine.layerMb();
 		}
-		return (layers > 0) ? Math.min(MAX_WEIGHT_SHARE, TARGET_REPLICAS * engine.layers() / layers) : 0;
+		if (layers == 0) {
+			return 0;
+		}
+		double layerCacheMb = engine.slots() * engine.usualCacheMbPerLayer();
+		double shareBesideFullSlots = engine.layerMb() / (engine.layerMb() + layerCacheMb);
+		return Math.min(MAX_WEIGHT_SHARE, Math.max(MIN_REPLICAS * engine.layers() / layers, shareBesideFullSlots));
 	}
 
 	private static int layerCapacity(EngineSpec engine, EnginePlacement placement, double weightShare) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/EngineSpec.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/EngineSpec.java
@@ -41,6 +41,14 @@
 		return Math.max(0, freeMb) * BYTES_PER_MB / this.kvBytesPerTokenLayer;
 	}
 
+	/**
+	 * Returns the KV cache that a stream of mean length takes in one layer.
+	 * @return the memory at the end of the stream, in MB
+	 */
+	public double usualCacheMbPerLayer() {
+		return (this.meanPromptTokens + this.meanResponseTokens) * this.kvBytesPerTokenLayer / BYTES_PER_MB;
+	}
+
 	/**
 	 * Returns the largest number of layers whose weights fit on an endpoint.
 	 * @param kind the endpoint's accelerator kind
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -11,7 +11,6 @@
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.EngineSpec;
 import org.comfreyslip.entry.model.LayerRange;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -242,7 +241,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void eachLayerHasASecondReplicaWhereTheMemoryOfADataCentreAllowsIt() {
 		List<LayerPlanner.EnginePlacement> placed = Samples.placements(Samples.manyEngines(),
 				Samples.place(Samples.manyEngines(), Samples.manyEmptyEngines()));
