Compare paths by their stages, not by their registrations

A stream whose path stalled could be ended for a path over the very same engines: the comparison included the heartbeat of each registration. It now compares engines and layers; the test failed to compile before, as the method is new.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -71,7 +71,7 @@
 	/** A path over engines was chosen for a send of a stream. */
 	PATH_CHOSEN(8305, Level.INFO),
 
-	/** A request was refused because no path over engines can take it. */
+	/** No path over engines can take a send; the request is refused or suspended. */
 	NO_PATH(8306, Level.WARNING),
 
 	/** This daemon became the leader for layer placement or ceased to be it. */
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -77,9 +77,8 @@
 	}
 
 	/**
-	 * Records a fault against an endpoint that did not respond or was named as the cause
-	 * of a failure. A fault that continues an earlier one of its kind doubles the
-	 * backoff; one within the current backoff changes nothing.
+	 * Records a fault that this daemon observed. A fault that continues an earlier one of
+	 * its kind doubles the backoff; one within the current backoff changes nothing.
 	 * @param kind what the fault says about the endpoint's process
 	 * @param id identity of the endpoint
 	 * @param nowNanos the current time in ns
@@ -150,7 +149,9 @@
 	 * @param nowNanos the current time in ns
 	 */
 	public void recordPeerReport(String id, long validNanos, long nowNanos) {
-		if (!locallyObservedFaults(nowNanos).contains(id) && !hasRecentSuccess(id, nowNanos)) {
+		Fault known = this.faults.get(FaultKind.UNREACHABLE).get(id);
+		boolean observedLocally = known != null && known.observedLocally() && known.isAvoided(nowNanos);
+		if (!observedLocally && !hasRecentSuccess(id, nowNanos)) {
 			extendFault(id, validNanos, false, nowNanos);
 		}
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -493,6 +493,8 @@
 		dispatchAgain(tookMs, reason);
 	}
 
+	// Ends the current send and dispatches the request again, to any endpoint that is not
+	// excluded.
 	private void dispatchAgain(double tookMs, String reason) {
 		this.router.recordMove(id(), this.endpoint.id(), reason);
 		endSend(tookMs);
@@ -563,7 +565,7 @@
 		return this.router
 			.findPath(this.admitted, this.reservedTokens,
 					(first) -> !(cause.isCausedByTarget() && first.id().equals(current)) && mayBeFirstStage(first), now)
-			.filter((other) -> !other.stages().equals(this.path.stages()))
+			.filter((other) -> !other.hasSameStages(this.path))
 			.isPresent();
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
@@ -38,6 +38,15 @@
 		return false;
 	}
 
+	/**
+	 * Tells whether another path runs the same layers on the same endpoints.
+	 * @param other the other path; its endpoints may have newer registrations
+	 * @return whether the stages have the same endpoints and layers in the same order
+	 */
+	public boolean hasSameStages(LayerPath other) {
+		return describe().equals(other.describe());
+	}
+
 	/**
 	 * Tells whether an endpoint at an address serves a stage after the first one.
 	 * @param address the address, as text
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -130,8 +130,12 @@
 					confirmation.confirmedAtNanos()));
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
-		long validNanos = TimeUnit.MILLISECONDS.toNanos(PeerSchedule.reportValidityMs(this.table.intervalMs(message)));
-		message.unreachableEndpoints().forEach((id) -> this.faults.recordPeerReport(id, validNanos, System.nanoTime()));
+		if (!message.unreachableEndpoints().isEmpty()) {
+			long validNanos = TimeUnit.MILLISECONDS
+				.toNanos(PeerSchedule.reportValidityMs(this.table.intervalMs(message)));
+			message.unreachableEndpoints()
+				.forEach((id) -> this.faults.recordPeerReport(id, validNanos, System.nanoTime()));
+		}
 	}
 
 	private void sendRound() {
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
@@ -133,6 +133,18 @@
 			.id()).isEqualTo(usual);
 	}
 
+	@Test
+	void pathOverTheSameEnginesWithNewerRegistrationsIsTheSame() {
+		Endpoint old = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
+		Endpoint renewed = new Endpoint(old.id(), old.incarnationStartMs(), old.heartbeat() + 1, old.service(),
+				old.address(), old.dataCentre(), old.draining(), old.accelerator(), old.layers());
+		Endpoint other = Samples.endpoint("y", "a", Samples.FAST, new LayerRange(0, 40));
+		Endpoint rest = Samples.endpoint("z", "a", Samples.FAST, new LayerRange(40, 80));
+		LayerPath path = find(List.of(old, rest), 100).orElseThrow();
+		assertThat(path.hasSameStages(find(List.of(renewed, rest), 100).orElseThrow())).isTrue();
+		assertThat(path.hasSameStages(find(List.of(other, rest), 100).orElseThrow())).isFalse();
+	}
+
 	@Test
 	void releasingAPathFreesItsReservations() {
 		Endpoint whole = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
