Give the sample fleets of the tests a fixed order

DelayedLoadsTests names a seed but did not repeat under it: its fleets were built from Map.of, whose order changes with each JVM, and equal paths are told apart by that order. The fleets are now built in a fixed order. LayerPlannerTests had the fleet of the first deployments a second time and now takes it from Samples. No check changes.

--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/Samples.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/Samples.java
@@ -59,35 +59,48 @@
 	/**
 	 * Returns 98 engines without layers in three data centres, each of which can hold the
 	 * model several times.
-	 * @return the engines, in no particular order
+	 * @return the engines, in the same order each time
 	 */
 	public static List<Endpoint> manyEmptyEngines() {
 		List<Endpoint> engines = new ArrayList<>();
-		addEngines(engines, "a", Map.of(FAST, 1, MIDDLE, 2, SLOW, 20, SMALL, 9));
-		addEngines(engines, "b", Map.of(MIDDLE, 4, SLOW, 11, SMALL, 18));
-		addEngines(engines, "c", Map.of(FAST, 1, MIDDLE, 2, SLOW, 13, SMALL, 17));
+		addEngines(engines, "a", FAST, 1);
+		addEngines(engines, "a", MIDDLE, 2);
+		addEngines(engines, "a", SLOW, 20);
+		addEngines(engines, "a", SMALL, 9);
+		addEngines(engines, "b", MIDDLE, 4);
+		addEngines(engines, "b", SLOW, 11);
+		addEngines(engines, "b", SMALL, 18);
+		addEngines(engines, "c", FAST, 1);
+		addEngines(engines, "c", MIDDLE, 2);
+		addEngines(engines, "c", SLOW, 13);
+		addEngines(engines, "c", SMALL, 17);
 		return engines;
 	}
 
 	/**
 	 * Returns 39 engines without layers in three data centres, as in the first
 	 * deployments; each can hold the model alone.
-	 * @return the engines, in no particular order
+	 * @return the engines, in the same order each time
 	 */
 	public static List<Endpoint> fewEmptyEngines() {
 		List<Endpoint> engines = new ArrayList<>();
-		addEngines(engines, "a", Map.of(MIDDLE, 1, SLOW, 8, SMALL, 3));
-		addEngines(engines, "b", Map.of(MIDDLE, 2, SLOW, 4, SMALL, 7));
-		addEngines(engines, "c", Map.of(FAST, 1, MIDDLE, 1, SLOW, 5, SMALL, 7));
+		addEngines(engines, "a", MIDDLE, 1);
+		addEngines(engines, "a", SLOW, 8);
+		addEngines(engines, "a", SMALL, 3);
+		addEngines(engines, "b", MIDDLE, 2);
+		addEngines(engines, "b", SLOW, 4);
+		addEngines(engines, "b", SMALL, 7);
+		addEngines(engines, "c", FAST, 1);
+		addEngines(engines, "c", MIDDLE, 1);
+		addEngines(engines, "c", SLOW, 5);
+		addEngines(engines, "c", SMALL, 7);
 		return engines;
 	}
 
-	private static void addEngines(List<Endpoint> engines, String dataCentre, Map<AcceleratorKind, Integer> counts) {
-		counts.forEach((kind, count) -> {
-			for (int index = 0; index < count; index++) {
-				engines.add(endpoint(dataCentre + "-" + kind.name() + "-" + index, dataCentre, kind, null));
-			}
-		});
+	private static void addEngines(List<Endpoint> engines, String dataCentre, AcceleratorKind kind, int count) {
+		for (int index = 0; index < count; index++) {
+			engines.add(endpoint(dataCentre + "-" + kind.name() + "-" + index, dataCentre, kind, null));
+		}
 	}
 
 	/**
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -29,18 +29,7 @@
 	}
 
 	private static List<LayerPlanner.EnginePlacement> emptyFleet() {
-		List<LayerPlanner.EnginePlacement> fleet = new ArrayList<>();
-		add(fleet, "a", Samples.MIDDLE, 1);
-		add(fleet, "a", Samples.SLOW, 8);
-		add(fleet, "a", Samples.SMALL, 3);
-		add(fleet, "b", Samples.MIDDLE, 2);
-		add(fleet, "b", Samples.SLOW, 4);
-		add(fleet, "b", Samples.SMALL, 7);
-		add(fleet, "c", Samples.FAST, 1);
-		add(fleet, "c", Samples.MIDDLE, 1);
-		add(fleet, "c", Samples.SLOW, 5);
-		add(fleet, "c", Samples.SMALL, 7);
-		return fleet;
+		return Samples.placements(Samples.engine(), Samples.fewEmptyEngines());
 	}
 
 	private static void add(List<LayerPlanner.EnginePlacement> fleet, String dataCentre, AcceleratorKind kind,
