Name the links of a path in one place

The loop over the stages that finds the changes of the data centre stood in LayerLoads, LayerPath and DelayedLoadsTests; LayerPath.crossedLinks now serves all three, and the number of crossings is its size. Paths are compared by endpoint and layers themselves instead of by their text for the log. No behaviour changes.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -432,11 +432,12 @@
 	void recordPath(String requestId, LayerPath path, long nowNanos) {
 		long loadsAgeMs = TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos));
 		this.metrics.record(EntryMetrics.Time.PEER_LOADS_AGE, loadsAgeMs);
-		if (path.linkCrossings() > 0) {
+		int crossings = path.crossedLinks().size();
+		if (crossings > 0) {
 			this.metrics.increment(EntryMetrics.Count.PATHS_ACROSS_DATA_CENTRES);
 		}
-		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", path.linkCrossings(),
-				"token_ms", Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
+		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", crossings, "token_ms",
+				Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
 				this.loads.peerCount());
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
@@ -51,12 +51,8 @@
 			Load change = new Load((long) tokens * stage.layers().size(), streamCount, (isFirst) ? streamCount : 0);
 			addOwnLoad(stage.endpoint().id(), change);
 		}
-		for (int index = 1; index < path.stages().size(); index++) {
-			String from = path.stages().get(index - 1).endpoint().dataCentre();
-			String to = path.stages().get(index).endpoint().dataCentre();
-			if (!from.equals(to)) {
-				addOwnLoad(linkKey(from, to), new Load(tokens, streamCount, 0));
-			}
+		for (String link : path.crossedLinks()) {
+			addOwnLoad(link, new Load(tokens, streamCount, 0));
 		}
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry.layers;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -44,7 +45,14 @@
 	 * @return whether the stages have the same endpoints and layers in the same order
 	 */
 	public boolean hasSameStages(LayerPath other) {
-		return describe().equals(other.describe());
+		boolean same = this.stages.size() == other.stages.size();
+		for (int index = 0; same && index < this.stages.size(); index++) {
+			Stage stage = this.stages.get(index);
+			Stage otherStage = other.stages.get(index);
+			same = stage.endpoint().id().equals(otherStage.endpoint().id())
+					&& stage.layers().equals(otherStage.layers());
+		}
+		return same;
 	}
 
 	/**
@@ -59,16 +67,20 @@
 	}
 
 	/**
-	 * Returns how often the path changes the data centre.
-	 * @return the number of pairs of successive stages in different data centres
+	 * Returns the links between data centres that the activations pass.
+	 * @return the key of the link for each pair of successive stages in different data
+	 * centres, in order; a link may occur several times
 	 */
-	public int linkCrossings() {
-		int crossings = 0;
+	public List<String> crossedLinks() {
+		List<String> links = new ArrayList<>();
 		for (int index = 1; index < this.stages.size(); index++) {
-			String previous = this.stages.get(index - 1).endpoint().dataCentre();
-			crossings += (previous.equals(this.stages.get(index).endpoint().dataCentre())) ? 0 : 1;
+			String from = this.stages.get(index - 1).endpoint().dataCentre();
+			String to = this.stages.get(index).endpoint().dataCentre();
+			if (!from.equals(to)) {
+				links.add(LayerLoads.linkKey(from, to));
+			}
 		}
-		return crossings;
+		return links;
 	}
 
 	/**
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/DelayedLoadsTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/DelayedLoadsTests.java
@@ -81,16 +81,6 @@
 		}
 	}
 
-	private void countLinks(LayerPath path) {
-		for (int index = 1; index < path.stages().size(); index++) {
-			String from = path.stages().get(index - 1).endpoint().dataCentre();
-			String to = path.stages().get(index).endpoint().dataCentre();
-			if (!from.equals(to)) {
-				this.streamsOnLink.merge(LayerLoads.linkKey(from, to), 1, Integer::sum);
-			}
-		}
-	}
-
 	private double mostTransferMsPerMs() {
 		int most = this.streamsOnLink.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 		return most * TOKENS * this.engine.linkMsPerToken() / PLAYED_MS;
@@ -177,7 +167,7 @@
 			}
 			LayerPath path = found.get();
 			this.loads.reserve(path, TOKENS);
-			countLinks(path);
+			path.crossedLinks().forEach((link) -> DelayedLoadsTests.this.streamsOnLink.merge(link, 1, Integer::sum));
 			String first = path.firstEndpoint().id();
 			int open = DelayedLoadsTests.this.openAtFirst.merge(first, 1, Integer::sum);
 			DelayedLoadsTests.this.mostOpenAtFirst = Math.max(DelayedLoadsTests.this.mostOpenAtFirst, open);
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LayerPlannerTests.java
@@ -208,7 +208,7 @@
 		LayerPath path = new PathFinder(Samples.manyEngines(), new LayerLoads(), new EngineSlowdowns())
 			.find(engines, "a", 900, (first) -> true, 0)
 			.orElseThrow();
-		assertThat(path.linkCrossings()).isEqualTo(1);
+		assertThat(path.crossedLinks()).hasSize(1);
 	}
 
 	@Test
