Log the request rates that endpoints state as their limits

EndpointLimits keeps what responses state and what other daemons were told; the datagrams between daemons carry it in an added last part, which older daemons ignore. The metrics get a gauge, its age and the sends of each limited endpoint, and a counter of the calls for reports.

No decision changes.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -120,7 +120,7 @@
 		this.peers = new PeerExchange(loop, settings.name(), settings.dataCentre(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
 				this.configurationFeed, this.router.loads(), this.router.slowdowns(), this.router.faults(),
-				this.router.retryBudget());
+				this.router.endpointLimits(), this.router.retryBudget());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
@@ -141,12 +141,13 @@
 			}
 		});
 		Listeners.bindReadiness(this.loop, this.settings.readinessAddress(), this::isReady);
-		Listeners.bindMetrics(this.loop, this.settings.metricsAddress(), this.router.metrics()).addListener((bound) -> {
-			if (!bound.isSuccess()) {
-				EntryLog.write(EntryEvent.TASK_FAILED, "metrics", "address", this.settings.metricsAddress(), "cause",
-						bound.cause());
-			}
-		});
+		Listeners.bindMetrics(this.loop, this.settings.metricsAddress(), this.router::metricsText)
+			.addListener((bound) -> {
+				if (!bound.isSuccess()) {
+					EntryLog.write(EntryEvent.TASK_FAILED, "metrics", "address", this.settings.metricsAddress(),
+							"cause", bound.cause());
+				}
+			});
 		this.configurationReader.start();
 		this.endpointReader.start();
 		renewLeadership();
@@ -177,6 +178,7 @@
 		long now = this.clock.nanos();
 		this.directory.dropExpired(now);
 		this.router.checkConnections(System.nanoTime());
+		this.router.endpointLimits().removeExpired(System.nanoTime());
 		this.router.configuration()
 			.ifPresent((configuration) -> this.placement.planAndOrder(configuration.services().values(), now,
 					System.nanoTime()));
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -56,6 +56,9 @@
 	/** An engine is slower than usual. */
 	ENGINE_SLOW(8204, Level.INFO),
 
+	/** The request rate that an endpoint states as its limit has changed. */
+	ENDPOINT_LIMIT(8205, Level.INFO),
+
 	/** A request ended, with or without a response. */
 	REQUEST_CLOSED(8301, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -117,7 +117,10 @@
 		PATHS_ACROSS_DATA_CENTRES,
 
 		/** Searches for a path that found none. */
-		PATHS_MISSING
+		PATHS_MISSING,
+
+		/** Calls to engines for their reports because of a slow or silent stream. */
+		REPORTS_FETCHED
 
 	}
 
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointLimits.java
@@ -0,0 +1,203 @@
+package org.comfreyslip.entry.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreyslip.entry.EntryEvent;
+import org.comfreyslip.entry.EntryLog;
+
+/**
+ * The request rates that endpoints state as their limits for all daemons together. A
+ * limit is learned from the endpoint's own responses and from other daemons, and is in
+ * force until a response states another one or none. Daemons pass on only what responses
+ * to their own requests stated, so that a statement does not become newer on its way
+ * through several daemons.
+ */
+public final class EndpointLimits {
+
+	/**
+	 * Time without a statement after which a limit is forgotten, in ns. An endpoint that
+	 * sent no response for so long has left or is not used.
+	 */
+	private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+	/**
+	 * Time for which the end of a limit is remembered and passed on, in ns; several
+	 * intervals of the messages between daemons.
+	 */
+	private static final long ENDED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	private final Map<String, StatedLimit> limits = new HashMap<>();
+
+	/**
+	 * Handles the head of an endpoint's response to a request of this daemon.
+	 * @param id identity of the endpoint
+	 * @param requestsPerSecond the limit that the response states; empty if it states
+	 * none
+	 * @param signed whether the response is proven to be the endpoint's own; only such a
+	 * response can end a limit
+	 * @param sentAtNanos steady time in ns at which the request was sent; a response to a
+	 * request from before the last statement does not end the limit
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onResponse(String id, OptionalDouble requestsPerSecond, boolean signed, long sentAtNanos,
+			long nowNanos) {
+		StatedLimit known = this.limits.get(id);
+		boolean ends = requestsPerSecond.isEmpty() && signed && known != null && known.isInForce()
+				&& sentAtNanos - known.statedAtNanos > 0;
+		if (requestsPerSecond.isPresent() || ends) {
+			apply(id, requestsPerSecond, Source.RESPONSE, nowNanos, nowNanos);
+		}
+	}
+
+	/**
+	 * Handles what another daemon's requests to an endpoint were told. Older statements
+	 * than the known one are ignored.
+	 * @param id identity of the endpoint
+	 * @param statement the statement, with its age at its arrival
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onPeerStatement(String id, Statement statement, long nowNanos) {
+		long statedAtNanos = nowNanos - statement.ageNanos();
+		StatedLimit known = this.limits.get(id);
+		boolean isNews = (known != null) ? statedAtNanos - known.statedAtNanos > 0
+				: statement.requestsPerSecond().isPresent();
+		if (isNews) {
+			apply(id, statement.requestsPerSecond(), Source.PEER, statedAtNanos, nowNanos);
+		}
+	}
+
+	private void apply(String id, OptionalDouble requestsPerSecond, Source source, long statedAtNanos, long nowNanos) {
+		StatedLimit limit = this.limits.computeIfAbsent(id, (key) -> new StatedLimit());
+		OptionalDouble before = limit.requestsPerSecond;
+		limit.requestsPerSecond = requestsPerSecond;
+		limit.statedAtNanos = statedAtNanos;
+		limit.source = source;
+		if (source == Source.RESPONSE) {
+			limit.ownStatement = requestsPerSecond;
+			limit.ownStatedAtNanos = statedAtNanos;
+			limit.hasOwnStatement = true;
+		}
+		if (!before.equals(requestsPerSecond)) {
+			EntryLog.write(EntryEvent.ENDPOINT_LIMIT, id, "limit", describe(requestsPerSecond), "before",
+					describe(before), "source", source, "age_ms",
+					TimeUnit.NANOSECONDS.toMillis(nowNanos - statedAtNanos));
+		}
+	}
+
+	private static String describe(OptionalDouble requestsPerSecond) {
+		return (requestsPerSecond.isPresent()) ? Double.toString(requestsPerSecond.getAsDouble()) : "none";
+	}
+
+	/**
+	 * Returns the statements to pass on to other daemons: the last one that each endpoint
+	 * made to this daemon, unless a newer one differs.
+	 * @param nowNanos the current steady time in ns
+	 * @return the statements by identity of the endpoint; may be empty
+	 */
+	public Map<String, Statement> ownStatements(long nowNanos) {
+		Map<String, Statement> statements = new HashMap<>();
+		this.limits.forEach((id, limit) -> {
+			if (limit.hasOwnStatement && limit.ownStatement.equals(limit.requestsPerSecond)) {
+				statements.put(id, new Statement(limit.ownStatement, nowNanos - limit.ownStatedAtNanos));
+			}
+		});
+		return statements;
+	}
+
+	/**
+	 * Forgets limits that have not been stated for a long time. Called periodically.
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void removeExpired(long nowNanos) {
+		this.limits.values().removeIf((limit) -> {
+			long ageNanos = nowNanos - limit.statedAtNanos;
+			return ageNanos > ((limit.isInForce()) ? RETENTION_NANOS : ENDED_RETENTION_NANOS);
+		});
+	}
+
+	/**
+	 * Records that a request was sent to an endpoint. Each send counts: first ones,
+	 * repeats, resumed streams and calls for a report.
+	 * @param id identity of the endpoint
+	 */
+	public void recordSend(String id) {
+		StatedLimit limit = this.limits.get(id);
+		if (limit != null && limit.isInForce()) {
+			limit.sentCount++;
+		}
+	}
+
+	/**
+	 * Returns the limits in force, for the metrics.
+	 * @param nowNanos the current steady time in ns
+	 * @return the limits, in no particular order; may be empty
+	 */
+	public List<LimitState> states(long nowNanos) {
+		List<LimitState> states = new ArrayList<>();
+		this.limits.forEach((id, limit) -> limit.requestsPerSecond.ifPresent((rate) -> states.add(new LimitState(id,
+				rate, limit.source, TimeUnit.NANOSECONDS.toMillis(nowNanos - limit.statedAtNanos), limit.sentCount))));
+		return states;
+	}
+
+	/** How this daemon learned of a limit. */
+	public enum Source {
+
+		/** From a response to a request of this daemon. */
+		RESPONSE,
+
+		/** From another daemon. */
+		PEER
+
+	}
+
+	/**
+	 * What an endpoint stated in a response.
+	 *
+	 * @param requestsPerSecond the limit for all daemons together; empty if it has ended
+	 * @param ageNanos time since the response arrived, in ns
+	 */
+	public record Statement(OptionalDouble requestsPerSecond, long ageNanos) {
+	}
+
+	/**
+	 * A limit in force.
+	 *
+	 * @param id identity of the endpoint
+	 * @param requestsPerSecond the limit for all daemons together
+	 * @param source how this daemon learned of it last
+	 * @param ageMs time since the endpoint stated it last, in ms
+	 * @param sentCount requests that this daemon has sent while a limit was in force
+	 */
+	public record LimitState(String id, double requestsPerSecond, Source source, long ageMs, long sentCount) {
+	}
+
+	/** What is known of an endpoint that has stated a limit. */
+	private static final class StatedLimit {
+
+		/** The limit, from the newest statement; empty if it has ended. */
+		private OptionalDouble requestsPerSecond = OptionalDouble.empty();
+
+		private long statedAtNanos;
+
+		private Source source;
+
+		private boolean hasOwnStatement;
+
+		private OptionalDouble ownStatement = OptionalDouble.empty();
+
+		private long ownStatedAtNanos;
+
+		private long sentCount;
+
+		boolean isInForce() {
+			return this.requestsPerSecond.isPresent();
+		}
+
+	}
+
+}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -285,6 +285,7 @@
 			this.router.plainSelector().recordDispatch(target.id());
 		}
 		this.sentTo.add(target.id());
+		this.router.onSend(target);
 		this.connection = this.router.pool().send(target, request, id(), !this.admitted.route().mayRunAgain(), this);
 	}
 
@@ -314,6 +315,7 @@
 	public void onResponseHead(HttpResponse head, HeaderTranslator.ResponseFields fields) {
 		this.responseHead = head;
 		this.responseFields = fields;
+		this.router.onResponseHead(this.endpoint, fields, this.sentAtNanos, System.nanoTime());
 		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded();
 		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
 		if (this.relayingStream) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.http;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -91,9 +92,12 @@
 	 * @param reusable whether the connection may be used again
 	 * @param contentEncoded whether the body has a content encoding, which was not
 	 * requested
+	 * @param requestsPerSecond request rate that the endpoint takes from all daemons
+	 * together; empty if it states no limit
 	 */
 	record ResponseFields(Optional<String> attemptId, boolean signed, boolean notExecuted,
-			Optional<String> faultAddress, long keepAliveMs, boolean reusable, boolean contentEncoded) {
+			Optional<String> faultAddress, long keepAliveMs, boolean reusable, boolean contentEncoded,
+			OptionalDouble requestsPerSecond) {
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
@@ -28,7 +28,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.comfreyslip.entry.EntryMetrics;
 
 /**
  * Binds the daemon's listening sockets: for callers, readiness and metrics.
@@ -108,11 +107,11 @@
 	 * Listens for requests for the metrics.
 	 * @param loop the event loop
 	 * @param address where to listen
-	 * @param metrics the metrics whose text is returned
+	 * @param metricsText returns the text of the metrics
 	 * @return the future of the bind
 	 */
-	public static ChannelFuture bindMetrics(EventLoop loop, InetSocketAddress address, EntryMetrics metrics) {
-		return bindStatus(loop, address, () -> new StatusResponse(HttpResponseStatus.OK, metrics.text()));
+	public static ChannelFuture bindMetrics(EventLoop loop, InetSocketAddress address, Supplier<String> metricsText) {
+		return bindStatus(loop, address, () -> new StatusResponse(HttpResponseStatus.OK, metricsText.get()));
 	}
 
 	private static ServerBootstrap bootstrap(EventLoop loop) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -24,6 +24,7 @@
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.fleet.EndpointDirectory;
 import org.comfreyslip.entry.fleet.EndpointFaults;
+import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.fleet.FaultKind;
 import org.comfreyslip.entry.fleet.LeastWaitSelector;
 import org.comfreyslip.entry.layers.EngineControl;
@@ -116,6 +117,8 @@
 
 	private final EndpointFaults faults = new EndpointFaults();
 
+	private final EndpointLimits endpointLimits = new EndpointLimits();
+
 	private final LayerLoads loads = new LayerLoads();
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
@@ -207,6 +210,14 @@
 		return this.faults;
 	}
 
+	/**
+	 * Returns the request rates that endpoints state as their limits.
+	 * @return the limits, which responses update
+	 */
+	public EndpointLimits endpointLimits() {
+		return this.endpointLimits;
+	}
+
 	/**
 	 * Returns the loads of engines and links.
 	 * @return the loads, which requests update
@@ -224,11 +235,11 @@
 	}
 
 	/**
-	 * Returns the counters and histograms.
-	 * @return the metrics, which requests update
+	 * Returns all metrics in the Prometheus text format.
+	 * @return the counters, the histograms and the limits of endpoints
 	 */
-	public EntryMetrics metrics() {
-		return this.metrics;
+	public String metricsText() {
+		return this.metrics.text() + EndpointLimitMetrics.text(this.endpointLimits.states(System.nanoTime()));
 	}
 
 	/**
@@ -539,6 +550,15 @@
 		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos));
 	}
 
+	void onSend(Endpoint endpoint) {
+		this.endpointLimits.recordSend(endpoint.id());
+	}
+
+	void onResponseHead(Endpoint endpoint, HeaderTranslator.ResponseFields fields, long sentAtNanos, long nowNanos) {
+		this.endpointLimits.onResponse(endpoint.id(), fields.requestsPerSecond(), fields.signed(), sentAtNanos,
+				nowNanos);
+	}
+
 	void recordMove(String requestId, String endpoint, String reason) {
 		this.metrics.increment(EntryMetrics.Count.MOVED);
 		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
@@ -568,7 +588,7 @@
 		for (LayerPath.Stage stage : path.stages()) {
 			Endpoint endpoint = stage.endpoint();
 			if (this.slowdowns.tryStartProbe(endpoint.id(), nowNanos)) {
-				this.engines.fetchReport(endpoint, (report) -> report.ifPresent((engineReport) -> {
+				fetchReport(endpoint, (report) -> report.ifPresent((engineReport) -> {
 					this.slowdowns.recordOwnReport(endpoint.id(), engineReport.slowdownFactor(), System.nanoTime());
 					if (engineReport.slowdownFactor() > EngineSlowdowns.SLOW_FACTOR) {
 						EntryLog.write(EntryEvent.ENGINE_SLOW, endpoint.id(), "pace", engineReport.slowdownFactor());
@@ -589,8 +609,13 @@
 			return;
 		}
 		this.pendingProbes.put(first.id(), new ArrayList<>(List.of(onReport)));
-		this.engines.fetchReport(first,
-				(report) -> this.pendingProbes.remove(first.id()).forEach((one) -> one.accept(report)));
+		fetchReport(first, (report) -> this.pendingProbes.remove(first.id()).forEach((one) -> one.accept(report)));
+	}
+
+	private void fetchReport(Endpoint endpoint, Consumer<Optional<EngineControl.Report>> callback) {
+		onSend(endpoint);
+		this.metrics.increment(EntryMetrics.Count.REPORTS_FETCHED);
+		this.engines.fetchReport(endpoint, callback);
 	}
 
 	private ProbeResult evaluateProbe(Exchange exchange, Endpoint first, Optional<EngineControl.Report> report) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -11,6 +11,7 @@
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
 import org.comfreyslip.entry.fleet.EndpointFaults;
+import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.retry.RetryBudget;
@@ -50,6 +51,8 @@
 
 	private final EndpointFaults faults;
 
+	private final EndpointLimits limits;
+
 	private final RetryBudget budget;
 
 	private final PeerTable table;
@@ -73,11 +76,12 @@
 	 * @param loads loads of the endpoints; own ones are sent, those of peers are received
 	 * @param slowdownFactors slowdown factors of the engines; sent and received
 	 * @param faults faults of the endpoints; sent and received
+	 * @param limits limits that endpoints stated; sent and received
 	 * @param budget retry budget that the daemons share
 	 */
 	public PeerExchange(EventLoop loop, String name, String dataCentre, InetSocketAddress address,
 			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configurationFeed, LayerLoads loads,
-			EngineSlowdowns slowdownFactors, EndpointFaults faults, RetryBudget budget) {
+			EngineSlowdowns slowdownFactors, EndpointFaults faults, EndpointLimits limits, RetryBudget budget) {
 		this.loop = loop;
 		this.name = name;
 		this.dataCentre = dataCentre;
@@ -88,6 +92,7 @@
 		this.loads = loads;
 		this.slowdownFactors = slowdownFactors;
 		this.faults = faults;
+		this.limits = limits;
 		this.budget = budget;
 		this.table = new PeerTable(dataCentre);
 	}
@@ -130,6 +135,7 @@
 					confirmation.confirmedAtNanos()));
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
+		message.limits().forEach((id, statement) -> this.limits.onPeerStatement(id, statement, System.nanoTime()));
 		if (!message.unreachableEndpoints().isEmpty()) {
 			long validNanos = TimeUnit.MILLISECONDS
 				.toNanos(PeerSchedule.reportValidityMs(this.table.intervalMs(message)));
@@ -155,11 +161,10 @@
 			if (!includeRemote && !target.dataCentre().equals(this.dataCentre)) {
 				continue;
 			}
-			this.socket.send(
-					new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
-							this.configurationFeed.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age,
-							this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable),
-					target.address());
+			this.socket.send(new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
+					this.configurationFeed.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age, this.loads.ownLoads(),
+					this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
+					this.limits.ownStatements(System.nanoTime())), target.address());
 		}
 		this.loop.schedule(this::sendRound, PeerSchedule.localIntervalMs(this.table.countLocalPeers()),
 				TimeUnit.MILLISECONDS);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -11,12 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
+import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.LayerLoads.Load;
 
 /**
  * One datagram between daemons. The binary form holds the components in their order here,
- * after the format version.
+ * after the format version. The limits were added later: a daemon that does not know them
+ * ignores the bytes, and a message that ends before them has none.
  *
  * @param sender name of the sending daemon
  * @param dataCentre the sender's data centre
@@ -32,14 +35,19 @@
  * the factor on their usual times; may be empty
  * @param unreachableEndpoints ids of the endpoints that the sender avoids because of a
  * fault that it observed itself; may be empty
+ * @param limits request rates that endpoints stated to the sender itself, by endpoint id;
+ * may be empty
  */
 public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos, long configurationOffset,
 		long configurationAgeNanos, Map<String, Load> loads, Map<String, Double> slowdownFactors,
-		List<String> unreachableEndpoints) {
+		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits) {
 
 	/** Version of the binary format; datagrams of another version are ignored. */
 	private static final int FORMAT_VERSION = 1;
 
+	/** Encoded rate of a limit that has ended. */
+	private static final double NO_LIMIT = -1;
+
 	/**
 	 * Encodes the message.
 	 * @return the content of the datagram
@@ -70,6 +78,12 @@
 			for (String id : this.unreachableEndpoints) {
 				out.writeUTF(id);
 			}
+			out.writeShort(this.limits.size());
+			for (Map.Entry<String, EndpointLimits.Statement> entry : this.limits.entrySet()) {
+				out.writeUTF(entry.getKey());
+				out.writeDouble(entry.getValue().requestsPerSecond().orElse(NO_LIMIT));
+				out.writeLong(entry.getValue().ageNanos());
+			}
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot encode a message to another daemon", ex);
@@ -106,7 +120,7 @@
 				unreachableEndpoints.add(in.readUTF());
 			}
 			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, offset, age, loads, slowdownFactors,
-					unreachableEndpoints));
+					unreachableEndpoints, readLimits(in)));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port, so bytes that are not a message are no
@@ -115,4 +129,18 @@
 		}
 	}
 
+	private static Map<String, EndpointLimits.Statement> readLimits(DataInputStream in) throws IOException {
+		Map<String, EndpointLimits.Statement> limits = new HashMap<>();
+		if (in.available() == 0) {
+			return limits;
+		}
+		for (int left = in.readUnsignedShort(); left > 0; left--) {
+			String id = in.readUTF();
+			double rate = in.readDouble();
+			limits.put(id, new EndpointLimits.Statement((rate >= 0) ? OptionalDouble.of(rate) : OptionalDouble.empty(),
+					in.readLong()));
+		}
+		return limits;
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -4,8 +4,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.entry.fleet.EndpointLimits.Statement;
 import org.comfreyslip.entry.layers.LayerLoads.Load;
 import org.comfreyslip.entry.layers.LayerLoads.PeerLoads;
 import org.junit.jupiter.api.Test;
@@ -24,7 +26,8 @@
 	private final PeerTable table = new PeerTable("a");
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
-		return new PeerMessage(sender, "a", 77, echoNanos, 12, ageNanos, loads, Map.of("e2", 4.5), List.of("e1"));
+		return new PeerMessage(sender, "a", 77, echoNanos, 12, ageNanos, loads, Map.of("e2", 4.5), List.of("e1"),
+				Map.of());
 	}
 
 	@Test
@@ -33,6 +36,20 @@
 		assertThat(PeerMessage.decode(message.encode())).contains(message);
 	}
 
+	@Test
+	void aDecodedMessageHasTheLimitsOfEndpointsAndTheirEnds() {
+		PeerMessage message = new PeerMessage("b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of("e1",
+				new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)));
+		assertThat(PeerMessage.decode(message.encode())).contains(message);
+	}
+
+	@Test
+	void aMessageOfADaemonThatKnowsNoLimitsOfEndpointsIsReadWithoutThem() {
+		byte[] encoded = message("b", 5, 6, Map.of()).encode();
+		byte[] withoutLimits = Arrays.copyOf(encoded, encoded.length - Short.BYTES);
+		assertThat(PeerMessage.decode(withoutLimits)).contains(message("b", 5, 6, Map.of()));
+	}
+
 	@Test
 	void bytesThatAreNotAMessageAreIgnored() {
 		assertThat(PeerMessage.decode(new byte[0])).isEmpty();
@@ -69,7 +86,7 @@
 	void theLoadsOfManyPeersCountUntilTheNextMessageOfEachIsDue() {
 		for (int peer = 0; peer < 78; peer++) {
 			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, 12, 0,
-					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of());
+					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of());
 			this.table.onMessage(message, ADDRESS, 0);
 		}
 		assertThat(this.table.totalLoads(TimeUnit.MILLISECONDS.toNanos(2_400)).daemonCount()).isEqualTo(78);
