--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointLimits.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointLimits.java
@@ -9,6 +9,7 @@
 
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
+import org.comfreyslip.entry.model.Endpoint;
 
 /**
  * The request rates that endpoints state as their limits for all daemons together. A
@@ -33,6 +34,15 @@
 
 	private final Map<String, StatedLimit> limits = new HashMap<>();
 
+	/**
+	 * Creates a record without limits.
+	 * @param daemon this daemon's name
+	 * @param dataCentre this daemon's data centre
+	 * @param nowNanos the current steady time in ns
+	 */
+	public EndpointLimits(String daemon, String dataCentre, long nowNanos) {
+	}
+
 	/**
 	 * Handles the head of an endpoint's response to a request of this daemon.
 	 * @param id identity of the endpoint
@@ -120,12 +130,35 @@
 		});
 	}
 
+	/**
+	 * Replaces the set of other daemons, with which this one shares the limits. Called
+	 * periodically.
+	 * @param dataCentres the data centre of each other daemon that is alive, by name
+	 * @param settlingNanos time in ns after which a daemon that has just joined is known
+	 * to all others
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void setPeers(Map<String, String> dataCentres, long settlingNanos, long nowNanos) {
+		// The limits are not shared yet.
+	}
+
+	/**
+	 * Tells whether this daemon may send a request to an endpoint now.
+	 * @param endpoint the endpoint
+	 * @param nowNanos the current steady time in ns
+	 * @return whether the endpoint's limit allows it; limits are not kept yet
+	 */
+	public boolean maySend(Endpoint endpoint, long nowNanos) {
+		return true;
+	}
+
 	/**
 	 * Records that a request was sent to an endpoint. Each send counts: first ones,
 	 * repeats, resumed streams and calls for a report.
 	 * @param id identity of the endpoint
+	 * @param nowNanos the current steady time in ns
 	 */
-	public void recordSend(String id) {
+	public void recordSend(String id, long nowNanos) {
 		StatedLimit limit = this.limits.get(id);
 		if (limit != null && limit.isInForce()) {
 			limit.sentCount++;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -117,7 +117,7 @@
 
 	private final EndpointFaults faults = new EndpointFaults();
 
-	private final EndpointLimits endpointLimits = new EndpointLimits();
+	private final EndpointLimits endpointLimits;
 
 	private final LayerLoads loads = new LayerLoads();
 
@@ -179,6 +179,7 @@
 		this.random = random;
 		this.pool = new EndpointPool(loop, headers);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
+		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, random);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
@@ -551,7 +552,7 @@
 	}
 
 	void onSend(Endpoint endpoint) {
-		this.endpointLimits.recordSend(endpoint.id());
+		this.endpointLimits.recordSend(endpoint.id(), System.nanoTime());
 	}
 
 	void onResponseHead(Endpoint endpoint, HeaderTranslator.ResponseFields fields, long sentAtNanos, long nowNanos) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
@@ -1,5 +1,7 @@
 package org.comfreyslip.entry.peer;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Intervals of the messages between daemons. Messages within a data centre are frequent,
  * since its daemons use the same engines; those to other data centres are charged for.
@@ -75,6 +77,16 @@
 		return Math.max(MIN_VALIDITY_MS, VALIDITY_INTERVALS * intervalMs);
 	}
 
+	/**
+	 * Returns how long it takes until all daemons know one that has just joined, also if
+	 * some of its messages are lost.
+	 * @param peers number of other daemons in all data centres
+	 * @return the time since its start, in ns
+	 */
+	public static long settlingNanos(int peers) {
+		return TimeUnit.MILLISECONDS.toNanos(loadValidityMs(remoteIntervalMs(peers)));
+	}
+
 	/**
 	 * Returns how long the faults in a message count.
 	 * @param intervalMs interval at which the sender sends messages, in ms
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -103,6 +103,26 @@
 		return new PeerLoads(sum, daemonCount, oldestAgeNanos);
 	}
 
+	/**
+	 * Returns the daemons that sent a message recently.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return the data centre of each daemon by its name, without this one
+	 */
+	public Map<String, String> livePeers(long nowNanos) {
+		Map<String, String> live = new HashMap<>();
+		this.peers.forEach((name, peer) -> {
+			if (isLive(peer, nowNanos)) {
+				live.put(name, peer.lastMessage.dataCentre());
+			}
+		});
+		return live;
+	}
+
+	private boolean isLive(Peer peer, long nowNanos) {
+		return peer.hasSentMessage && nowNanos - peer.lastMessageAtNanos < TimeUnit.MILLISECONDS
+			.toNanos(PeerSchedule.loadValidityMs(intervalMs(peer.lastMessage)));
+	}
+
 	private boolean isLocal(Peer peer) {
 		return peer.hasSentMessage && peer.lastMessage.dataCentre().equals(this.dataCentre);
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointLimitsTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointLimitsTests.java
@@ -19,7 +19,7 @@
 
 	private static final OptionalDouble NONE = OptionalDouble.empty();
 
-	private final EndpointLimits limits = new EndpointLimits();
+	private final EndpointLimits limits = new EndpointLimits("d", "a", 0);
 
 	private static long ms(long ms) {
 		return TimeUnit.MILLISECONDS.toNanos(ms);
