Read the store anew when it has come back with an older copy

What callers would see: endpoints that are never used since their registration took an offset that was read before, revoked keys that stay accepted since an older configuration confirms them, daemons that do not find each other, and a leader whose orders are refused.

Cause: offsets, the numbers of the placement group and the absence of a newer record were taken as facts for good. A store that lost its newest records gives them out again.

Fix: every page and membership carries the era that the store states. - KeyedFeed reads all keys again when the era rises, ignores responses of an earlier era, and takes confirmations of peers of the same era only; the datagrams carry the era. After an outage the first read does not wait, so that a new era is seen at once. - Keys are not confirmed until the store holds the version in force again: it may have lost one that revokes a key. - The era is part of the fencing token, and a lease that was granted in an earlier era is not held. - An address that is missing in the topic is announced again. - EndpointDirectory remembers endpoints that left for a minute and ignores their last registration. The configuration in force and draining endpoints were safe before: versions and heartbeats are compared. PlacementCoordinator keeps no records of its own; it starts from what the engines hold.

Daemons of the version before use tokens without an era. If the store states one, a mixed set of both versions may leave an old leader fenced until it is replaced.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -125,6 +125,7 @@
 				ports.engines(), this.leaderLease);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
+		this.configurationReader.setOnStoreWentBack(this::onStoreWentBack);
 		this.endpointReader = new FeedReader(loop, "endpoints", ports.endpoints(), this.endpointFeed, this.clock::nanos,
 				this::onEndpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_READ_PAUSE_MS);
 	}
@@ -204,14 +205,21 @@
 	private void renewLeadership() {
 		long sentAtNanos = this.clock.nanos();
 		this.ports.leadership().join(this.leaderLease.generation(), LeaderLease.TTL_MS, (joined) -> {
-			joined.ifPresent(
-					(result) -> this.leaderLease.onMembership(result.isLeader(), result.generation(), sentAtNanos));
+			joined.ifPresent((result) -> this.leaderLease.onMembership(result, sentAtNanos));
 			if (!this.stopping) {
 				this.loop.schedule(this::renewLeadership, LeaderLease.RENEWAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
 			}
 		});
 	}
 
+	// Until the store holds the configuration in force again, or a newer one, it cannot
+	// confirm the API keys: it may have lost a version that revokes some.
+	private void onStoreWentBack() {
+		this.router.recordStoreWentBack();
+		this.leaderLease.onStoreWentBack(this.configurationFeed.era());
+		this.configurationFeed.setConfirmationsHeld(this.router.configuration().isPresent());
+	}
+
 	private void onConfigurations(KeyedFeed.Update update) {
 		for (KeyedRecord keyed : update.records()) {
 			keyed.value().ifPresent((value) -> applyConfiguration(keyed, value));
@@ -229,6 +237,9 @@
 
 	private void applyIfNewer(Configuration next) {
 		long current = this.router.configuration().map(Configuration::version).orElse(-1L);
+		if (next.version() >= current) {
+			this.configurationFeed.setConfirmationsHeld(false);
+		}
 		if (next.version() <= current) {
 			return;
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -44,6 +44,9 @@
 	/** A read of the store succeeded after a failure. */
 	STORE_BACK(8104, Level.INFO),
 
+	/** The store has come back with an older copy of its records. */
+	STORE_WENT_BACK(8105, Level.WARNING),
+
 	/** An endpoint registered or changed its registration. */
 	ENDPOINT_CHANGED(8201, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -120,7 +120,10 @@
 		PATHS_MISSING,
 
 		/** Calls to engines for their reports because of a slow or silent stream. */
-		REPORTS_FETCHED
+		REPORTS_FETCHED,
+
+		/** Number of times that the store came back with an older copy of its records. */
+		STORE_WENT_BACK
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -37,6 +37,9 @@
 
 	private final Consumer<KeyedFeed.Update> apply;
 
+	private Runnable onStoreWentBack = () -> {
+	};
+
 	private final long waitMs;
 
 	private final long readPauseMs;
@@ -69,6 +72,15 @@
 		this.readPauseMs = readPauseMs;
 	}
 
+	/**
+	 * Sets what is done when the store has gone back to an older copy, before its records
+	 * are read again.
+	 * @param action the action
+	 */
+	public void setOnStoreWentBack(Runnable action) {
+		this.onStoreWentBack = action;
+	}
+
 	/** Sends the next read; each outcome schedules the read after it. */
 	public void start() {
 		long sentAtNanos = this.elapsedNanos.getAsLong();
@@ -76,14 +88,19 @@
 			this.log.readNewest(this.feed.afterKey(), (outcome) -> onReadOutcome(outcome, sentAtNanos));
 		}
 		else {
-			// After a start or an outage the knowledge must be confirmed before any
-			// request is served, so this read does not wait for new records.
-			boolean stale = this.feed.ageNanos(sentAtNanos) > TimeUnit.MILLISECONDS.toNanos(2 * this.waitMs);
-			this.log.read(this.feed.nextOffset(), (stale) ? 0 : this.waitMs,
+			this.log.read(this.feed.nextOffset(), (mustBeConfirmed(sentAtNanos)) ? 0 : this.waitMs,
 					(outcome) -> onReadOutcome(outcome, sentAtNanos));
 		}
 	}
 
+	// After a start or an outage the knowledge must be confirmed before any request is
+	// served, and the store may have gone back, so the read does not wait for new
+	// records.
+	private boolean mustBeConfirmed(long nowNanos) {
+		boolean stale = this.feed.ageNanos(nowNanos) > TimeUnit.MILLISECONDS.toNanos(2 * this.waitMs);
+		return this.feed.isStoreUnavailable() || (stale && !this.feed.areConfirmationsHeld());
+	}
+
 	/**
 	 * Tells whether the newest record of every key has been read at least once.
 	 * @return whether the content of the topic is known
@@ -94,10 +111,15 @@
 
 	private void onReadOutcome(Outcome outcome, long sentAtNanos) {
 		long now = this.elapsedNanos.getAsLong();
+		long era = this.feed.era();
 		boolean wasFailing = this.feed.isStoreUnavailable();
 		long age = this.feed.ageNanos(now);
 		KeyedFeed.Update update = this.feed.onReadOutcome(outcome, sentAtNanos, now);
 		logAvailabilityChange(outcome, wasFailing, age);
+		if (era >= 0 && this.feed.era() > era) {
+			EntryLog.write(EntryEvent.STORE_WENT_BACK, this.topicName, "era", this.feed.era(), "before", era);
+			this.onStoreWentBack.run();
+		}
 		if (!update.records().isEmpty() || update.snapshotKeys().isPresent()) {
 			apply(update);
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -14,6 +14,9 @@
  * At the start, and again after records have expired, the newest record of each key is
  * read page by page. The pages are read at different times and so are not a consistent
  * snapshot; therefore the log is then read from the end offset that the first page named.
+ * <p>
+ * If the store has gone back to an older copy, its offsets are given out again. All keys
+ * are then read anew, and nothing from before counts as a confirmation.
  */
 public final class KeyedFeed {
 
@@ -25,12 +28,17 @@
 
 	private boolean firstPage = true;
 
+	/** Era of the store to which the offsets belong; negative before the first page. */
+	private long era = -1;
+
 	private long nextOffset;
 
 	private long confirmedAtNanos;
 
 	private boolean confirmed;
 
+	private boolean confirmationsHeld;
+
 	private boolean storeUnavailable;
 
 	private long recoveredAtNanos;
@@ -47,6 +55,9 @@
 	public Update onReadOutcome(Outcome outcome, long sentAtNanos, long nowNanos) {
 		if (outcome instanceof Outcome.Page page) {
 			recordRecovery(nowNanos);
+			if (isOfAnotherEra(page, nowNanos)) {
+				return Update.NONE;
+			}
 			return (this.snapshotting) ? applySnapshotPage(page) : applyLogPage(page, sentAtNanos);
 		}
 		if (outcome instanceof Outcome.Expired) {
@@ -65,6 +76,19 @@
 		}
 	}
 
+	// Starts a new snapshot if the store has gone back since the last page. A page from
+	// before that is ignored.
+	private boolean isOfAnotherEra(Outcome.Page page, long nowNanos) {
+		long before = this.era;
+		this.era = Math.max(before, page.era());
+		if (before >= 0 && page.era() > before) {
+			this.recovered = true;
+			this.recoveredAtNanos = nowNanos;
+			restartSnapshot();
+		}
+		return before >= 0 && page.era() != before;
+	}
+
 	private Update applySnapshotPage(Outcome.Page page) {
 		if (this.firstPage) {
 			this.firstPage = false;
@@ -83,13 +107,36 @@
 
 	private Update applyLogPage(Outcome.Page page, long sentAtNanos) {
 		this.nextOffset = page.nextOffset();
-		if (page.nextOffset() >= page.endOffset() && (!this.confirmed || sentAtNanos - this.confirmedAtNanos > 0)) {
-			this.confirmed = true;
-			this.confirmedAtNanos = sentAtNanos;
+		if (page.nextOffset() >= page.endOffset()) {
+			confirm(sentAtNanos);
 		}
 		return new Update(new ArrayList<>(page.records()), Optional.empty());
 	}
 
+	private void confirm(long atNanos) {
+		if (!this.confirmationsHeld && (!this.confirmed || atNanos - this.confirmedAtNanos > 0)) {
+			this.confirmed = true;
+			this.confirmedAtNanos = atNanos;
+		}
+	}
+
+	/**
+	 * Sets whether reads and peers confirm the local knowledge. They must not while the
+	 * store holds older records than those that were read before it went back.
+	 * @param held whether confirmations are ignored
+	 */
+	public void setConfirmationsHeld(boolean held) {
+		this.confirmationsHeld = held;
+	}
+
+	/**
+	 * Tells whether confirmations are ignored.
+	 * @return whether {@link #setConfirmationsHeld} has stopped them
+	 */
+	public boolean areConfirmationsHeld() {
+		return this.confirmationsHeld;
+	}
+
 	private void restartSnapshot() {
 		this.snapshotting = true;
 		this.firstPage = true;
@@ -99,19 +146,27 @@
 
 	/**
 	 * Handles a peer's statement that an offset was the end of the topic. It confirms the
-	 * local knowledge only if that reaches the offset.
+	 * local knowledge only if that reaches the offset in the same era of the store.
+	 * @param peerEra era of the store in which the peer has seen the offset
 	 * @param endOffset the end offset that the peer has seen
 	 * @param peerConfirmedAtNanos elapsed time of this daemon that is no later than the
 	 * moment at which the offset was the end, in ns
 	 */
-	public void onPeerConfirmation(long endOffset, long peerConfirmedAtNanos) {
-		boolean upToDate = !this.snapshotting && this.nextOffset >= endOffset;
-		if (upToDate && (!this.confirmed || peerConfirmedAtNanos - this.confirmedAtNanos > 0)) {
-			this.confirmed = true;
-			this.confirmedAtNanos = peerConfirmedAtNanos;
+	public void onPeerConfirmation(long peerEra, long endOffset, long peerConfirmedAtNanos) {
+		if (!this.snapshotting && this.era == peerEra && this.nextOffset >= endOffset) {
+			confirm(peerConfirmedAtNanos);
 		}
 	}
 
+	/**
+	 * Returns how often the store had gone back to an older copy at the last read.
+	 * @return the number that the store stated, 0 if it states none; negative before the
+	 * first read
+	 */
+	public long era() {
+		return this.era;
+	}
+
 	/**
 	 * Tells whether the newest record of each key is still being read.
 	 * @return whether the next read is a page of newest records rather than of the log
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedLog.java
@@ -44,8 +44,11 @@
 		 * @param nextOffset offset at which the next read continues
 		 * @param endOffset end offset of the topic at the time of the read
 		 * @param morePages whether further pages of newest records follow
+		 * @param era how often the store has gone back to an older copy of its records;
+		 * offsets are comparable only within an era
 		 */
-		record Page(List<KeyedRecord> records, long nextOffset, long endOffset, boolean morePages) implements Outcome {
+		record Page(List<KeyedRecord> records, long nextOffset, long endOffset, boolean morePages,
+				long era) implements Outcome {
 		}
 
 		/** The store no longer retains the records at the offset. */
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -25,10 +25,19 @@
 	 */
 	public static final long LAPSED_USABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
+	/**
+	 * Time for which the last registration of an endpoint that left is remembered, in ns;
+	 * longer than a store's copy is old that it goes back to.
+	 */
+	private static final long LEFT_REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(60);
+
 	private final Map<String, Endpoint> registered = new HashMap<>();
 
 	private final Map<String, Lapsed> lapsed = new HashMap<>();
 
+	/** The last registrations of endpoints that have left, by identity. */
+	private final Map<String, Left> left = new HashMap<>();
+
 	private int version;
 
 	/**
@@ -40,9 +49,13 @@
 	 */
 	public boolean register(Endpoint endpoint) {
 		Endpoint old = this.registered.get(endpoint.id());
-		if (old != null && isOlder(endpoint, old)) {
+		Left hasLeft = this.left.get(endpoint.id());
+		boolean outdated = (old != null && isOlder(endpoint, old))
+				|| (hasLeft != null && !isOlder(hasLeft.endpoint(), endpoint));
+		if (outdated) {
 			return false;
 		}
+		this.left.remove(endpoint.id());
 		this.lapsed.remove(endpoint.id());
 		removePredecessors(endpoint);
 		this.registered.put(endpoint.id(), endpoint);
@@ -94,6 +107,9 @@
 		if (nearOutage && !old.draining()) {
 			this.lapsed.put(id, new Lapsed(old, nowNanos + LAPSED_USABLE_NANOS));
 		}
+		else {
+			this.left.put(id, new Left(old, nowNanos));
+		}
 	}
 
 	/**
@@ -112,10 +128,11 @@
 
 	/**
 	 * Drops the lapsed registrations that have not reappeared within
-	 * {@link #LAPSED_USABLE_NANOS}.
+	 * {@link #LAPSED_USABLE_NANOS}, and forgets endpoints that left long ago.
 	 * @param nowNanos the current elapsed time in ns
 	 */
 	public void dropExpired(long nowNanos) {
+		this.left.values().removeIf((one) -> nowNanos - one.leftAtNanos() > LEFT_REMEMBERED_NANOS);
 		Iterator<Lapsed> all = this.lapsed.values().iterator();
 		while (all.hasNext()) {
 			if (nowNanos - all.next().usableUntilNanos() >= 0) {
@@ -166,6 +183,16 @@
 		return this.version;
 	}
 
+	/**
+	 * An endpoint that has left. A store that goes back to an older copy may show its
+	 * last registration again.
+	 *
+	 * @param endpoint the last registration
+	 * @param leftAtNanos elapsed time at which it was removed
+	 */
+	private record Left(Endpoint endpoint, long leftAtNanos) {
+	}
+
 	/**
 	 * An endpoint whose registration disappeared near an outage.
 	 *
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
@@ -13,9 +13,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -113,7 +115,7 @@
 			this.channel.close();
 			this.channel = null;
 		}
-		finish(new CallResult(0, new byte[0], reason));
+		finish(CallResult.failed(reason));
 	}
 
 	private void finish(CallResult result) {
@@ -138,10 +140,15 @@
 	 * Result of a call.
 	 *
 	 * @param status the status code; 0 if no response arrived
+	 * @param headers the header fields; none if no response arrived
 	 * @param body the body; empty if no response arrived
 	 * @param failure why no response arrived; empty if one did
 	 */
-	public record CallResult(int status, byte[] body, String failure) {
+	public record CallResult(int status, HttpHeaders headers, byte[] body, String failure) {
+
+		static CallResult failed(String reason) {
+			return new CallResult(0, EmptyHttpHeaders.INSTANCE, new byte[0], reason);
+		}
 
 		/**
 		 * Describes the result for a log line.
@@ -168,10 +175,10 @@
 				ctx.close();
 			}
 			if (response.decoderResult().isFailure()) {
-				finish(new CallResult(0, new byte[0], "the response cannot be decoded"));
+				finish(CallResult.failed("the response cannot be decoded"));
 				return;
 			}
-			finish(new CallResult(response.status().code(), body, ""));
+			finish(new CallResult(response.status().code(), response.headers(), body, ""));
 		}
 
 		@Override
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -236,6 +236,11 @@
 		return this.slowdowns;
 	}
 
+	/** Counts that the store has gone back to an older copy of its records. */
+	public void recordStoreWentBack() {
+		this.metrics.increment(EntryMetrics.Count.STORE_WENT_BACK);
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 * @return the counters, the histograms and the limits of endpoints
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderElection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderElection.java
@@ -11,8 +11,8 @@
 
 	/**
 	 * Joins the group, or renews the membership.
-	 * @param generation the generation that the store last reported; 0 before the first
-	 * response
+	 * @param generation the generation that the store last reported in its present era; 0
+	 * before the first response
 	 * @param ttlMs time without a renewal after which the store drops this member, in ms
 	 * @param callback takes the membership; empty if the store sent no response or one
 	 * that cannot be decoded
@@ -25,10 +25,11 @@
 	/**
 	 * This member's place in the group, as the store reports it.
 	 *
-	 * @param generation number of the group's last change; a fencing token
+	 * @param era how often the store has gone back to an older copy of its records
+	 * @param generation number of the group's last change; increases within an era
 	 * @param isLeader whether this member is the leader
 	 */
-	record Membership(long generation, boolean isLeader) {
+	record Membership(long era, long generation, boolean isLeader) {
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
@@ -4,8 +4,10 @@
 
 /**
  * Lease under which this daemon is the leader of layer placement. The store elects one
- * member of a group as leader and numbers each change of the group; that number is the
- * fencing token. The lease runs from the time at which the renewal was sent.
+ * member of a group as leader and numbers each change of the group. The number may
+ * decrease when the store goes back to an older copy, so the fencing token is made of the
+ * era of the store and that number. The lease runs from the time at which the renewal was
+ * sent.
  */
 public final class LeaderLease {
 
@@ -24,36 +26,58 @@
 	 */
 	private static final long SAFETY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/** Factor of the era in a fencing token; more than the changes of a group. */
+	private static final long TOKENS_PER_ERA = 1L << 32;
+
 	/** Whether this daemon was the leader at the last renewal. */
 	private boolean leader;
 
+	private long era;
+
 	private long generation;
 
 	/** Highest fencing token that an engine has rejected. */
-	private long highestRejectedGeneration;
+	private long highestRejectedToken;
 
 	/** Elapsed time in ns at which the last renewal with a response was sent. */
 	private long renewalSentNanos;
 
 	/**
-	 * Records the response to a renewal.
-	 * @param isLeader whether this daemon is the leader
-	 * @param newGeneration the number of the group's last change
+	 * Records the response to a renewal. A response from before the store went back is
+	 * ignored.
+	 * @param membership this daemon's place in the group
 	 * @param sentAtNanos when the renewal was sent, in elapsed ns
 	 */
-	public void onMembership(boolean isLeader, long newGeneration, long sentAtNanos) {
-		this.leader = isLeader;
-		this.generation = newGeneration;
+	public void onMembership(LeaderElection.Membership membership, long sentAtNanos) {
+		if (membership.era() < this.era) {
+			return;
+		}
+		this.leader = membership.isLeader();
+		this.era = membership.era();
+		this.generation = membership.generation();
 		this.renewalSentNanos = sentAtNanos;
 	}
 
+	/**
+	 * Ends a lease that the store granted before it went back to an older copy: it may
+	 * have another leader now.
+	 * @param newEra the present era of the store
+	 */
+	public void onStoreWentBack(long newEra) {
+		if (newEra > this.era) {
+			this.leader = false;
+			this.era = newEra;
+			this.generation = 0;
+		}
+	}
+
 	/**
 	 * Records that an engine rejected an order because it has seen a higher fencing
 	 * token. No order is given again under this token or a lower one.
 	 * @param token the token of the rejected order
 	 */
 	public void recordRejectedToken(long token) {
-		this.highestRejectedGeneration = Math.max(this.highestRejectedGeneration, token);
+		this.highestRejectedToken = Math.max(this.highestRejectedToken, token);
 	}
 
 	/**
@@ -65,12 +89,22 @@
 	public boolean isHeld(long nowNanos) {
 		long remainingNanos = TimeUnit.MILLISECONDS.toNanos(TTL_MS) - SAFETY_MARGIN_NANOS
 				- (nowNanos - this.renewalSentNanos);
-		return this.leader && remainingNanos > 0 && this.generation > this.highestRejectedGeneration;
+		return this.leader && remainingNanos > 0 && fencingToken() > this.highestRejectedToken;
+	}
+
+	/**
+	 * Returns the fencing token of the orders of this daemon. It increases with each
+	 * change of the group, also when the store goes back to an older copy.
+	 * @return the token
+	 */
+	public long fencingToken() {
+		return this.era * TOKENS_PER_ERA + this.generation;
 	}
 
 	/**
-	 * Returns the number of the group's last change, which is the fencing token.
-	 * @return the number that the store last reported; 0 before the first response
+	 * Returns the number of the group's last change.
+	 * @return the number that the store last reported in its present era; 0 before the
+	 * first response
 	 */
 	public long generation() {
 		return this.generation;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -105,7 +105,7 @@
 	public void planAndOrder(Iterable<ServiceSpec> services, long nowNanos, long steadyNanos) {
 		if (!this.lease.isHeld(nowNanos)) {
 			if (this.leaderSinceNanos >= 0) {
-				EntryLog.write(EntryEvent.DUTY, "placement", "held", false, "generation", this.lease.generation());
+				EntryLog.write(EntryEvent.DUTY, "placement", "held", false, "token", this.lease.fencingToken());
 			}
 			this.leaderSinceNanos = -1;
 			this.pendingOrders.clear();
@@ -113,7 +113,7 @@
 		}
 		if (this.leaderSinceNanos < 0) {
 			this.leaderSinceNanos = nowNanos;
-			EntryLog.write(EntryEvent.DUTY, "placement", "held", true, "generation", this.lease.generation());
+			EntryLog.write(EntryEvent.DUTY, "placement", "held", true, "token", this.lease.fencingToken());
 		}
 		removeSettledOrders(nowNanos);
 		if (nowNanos - this.leaderSinceNanos < REGISTRATION_WAIT_NANOS) {
@@ -193,7 +193,7 @@
 	private void startOrder(Endpoint endpoint, LayerRange range, long nowNanos) {
 		PendingOrder order = new PendingOrder(range, endpoint.incarnationStartMs(), nowNanos + ORDER_TIMEOUT_NANOS);
 		this.pendingOrders.put(endpoint.id(), order);
-		long fencingToken = this.lease.generation();
+		long fencingToken = this.lease.fencingToken();
 		this.control.fetchReport(endpoint, (report) -> {
 			if (report.isEmpty() || report.get().busy()) {
 				EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome",
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -61,6 +61,9 @@
 
 	private PeerSocket socket;
 
+	/** Whether the store has acknowledged an announcement. */
+	private boolean announced;
+
 	/** Elapsed time in ns of the last round. */
 	private long lastRoundNanos;
 
@@ -111,7 +114,9 @@
 	}
 
 	private void announce() {
+		this.announced = false;
 		this.registry.announce(this.name, this.address, (done) -> {
+			this.announced = done;
 			if (!done) {
 				this.loop.schedule(this::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS);
 			}
@@ -119,6 +124,10 @@
 	}
 
 	private void onAnnouncements(KeyedFeed.Update update) {
+		if (this.announced && update.snapshotKeys().filter((keys) -> !keys.contains(this.name)).isPresent()) {
+			// The store has gone back to a copy from before the announcement.
+			announce();
+		}
 		for (KeyedRecord keyed : update.records()) {
 			if (!keyed.key().equals(this.name)) {
 				keyed.value()
@@ -134,8 +143,8 @@
 		}
 		long now = this.elapsedNanos.getAsLong();
 		this.table.onMessage(message, from, now)
-			.ifPresent((confirmation) -> this.configurationFeed.onPeerConfirmation(confirmation.offset(),
-					confirmation.confirmedAtNanos()));
+			.ifPresent((confirmation) -> this.configurationFeed.onPeerConfirmation(message.configurationEra(),
+					confirmation.offset(), confirmation.confirmedAtNanos()));
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
 		message.limits().forEach((id, statement) -> this.limits.onPeerStatement(id, statement, System.nanoTime()));
@@ -168,10 +177,12 @@
 			if (!includeRemote && !target.dataCentre().equals(this.dataCentre)) {
 				continue;
 			}
-			this.socket.send(new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
-					this.configurationFeed.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age, this.loads.ownLoads(),
-					this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
-					this.limits.ownStatements(System.nanoTime())), target.address());
+			this.socket.send(
+					new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
+							this.configurationFeed.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age,
+							this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
+							this.limits.ownStatements(System.nanoTime()), this.configurationFeed.era()),
+					target.address());
 		}
 		this.loop.schedule(this::sendRound, PeerSchedule.localIntervalMs(this.table.countLocalPeers()),
 				TimeUnit.MILLISECONDS);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -18,8 +18,8 @@
 
 /**
  * One datagram between daemons. The binary form holds the components in their order here,
- * after the format version. The limits were added later: a daemon that does not know them
- * ignores the bytes, and a message that ends before them has none.
+ * after the format version. The limits and the era were added later: a daemon that does
+ * not know them ignores the bytes, and a message that ends before them has neither.
  *
  * @param sender name of the sending daemon
  * @param dataCentre the sender's data centre
@@ -37,10 +37,12 @@
  * fault that it observed itself; may be empty
  * @param limits request rates that endpoints stated to the sender itself, by endpoint id;
  * may be empty
+ * @param configurationEra era of the store to which the configuration's offset belongs;
+ * negative if the sender does not know it
  */
 public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos, long configurationOffset,
 		long configurationAgeNanos, Map<String, Load> loads, Map<String, Double> slowdownFactors,
-		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits) {
+		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits, long configurationEra) {
 
 	/** Version of the binary format; datagrams of another version are ignored. */
 	private static final int FORMAT_VERSION = 1;
@@ -84,6 +86,7 @@
 				out.writeDouble(entry.getValue().requestsPerSecond().orElse(NO_LIMIT));
 				out.writeLong(entry.getValue().ageNanos());
 			}
+			out.writeLong(this.configurationEra);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot encode a message to another daemon", ex);
@@ -120,7 +123,7 @@
 				unreachableEndpoints.add(in.readUTF());
 			}
 			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, offset, age, loads, slowdownFactors,
-					unreachableEndpoints, readLimits(in)));
+					unreachableEndpoints, readLimits(in), (in.available() > 0) ? in.readLong() : -1));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port, so bytes that are not a message are no
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
@@ -23,7 +23,11 @@
 	}
 
 	private static Outcome.Page page(long next, long end, boolean more, KeyedRecord... records) {
-		return new Outcome.Page(List.of(records), next, end, more);
+		return pageOfEra(0, next, end, more, records);
+	}
+
+	private static Outcome.Page pageOfEra(long era, long next, long end, boolean more, KeyedRecord... records) {
+		return new Outcome.Page(List.of(records), next, end, more, era);
 	}
 
 	private void readSnapshot(long end) {
@@ -68,11 +72,11 @@
 	@Test
 	void aPeerConfirmsOnlyWhatThisDaemonHasReadItself() {
 		readSnapshot(10);
-		this.feed.onPeerConfirmation(11, 40);
+		this.feed.onPeerConfirmation(0, 11, 40);
 		assertThat(this.feed.ageNanos(100)).isEqualTo(Long.MAX_VALUE);
-		this.feed.onPeerConfirmation(10, 40);
+		this.feed.onPeerConfirmation(0, 10, 40);
 		assertThat(this.feed.ageNanos(100)).isEqualTo(60);
-		this.feed.onPeerConfirmation(10, 20);
+		this.feed.onPeerConfirmation(0, 10, 20);
 		assertThat(this.feed.ageNanos(100)).isEqualTo(60);
 	}
 
@@ -87,4 +91,46 @@
 		assertThat(this.feed.hadOutageWithin(1_000, 1_051)).isFalse();
 	}
 
+	@Test
+	void allKeysAreReadAgainAfterTheStoreWentBackAlthoughItsEndReachesTheOffset() {
+		readSnapshot(10);
+		KeyedFeed.Update lost = this.feed.onReadOutcome(pageOfEra(1, 12, 12, false, keyedRecord("a", 11)), 50, 60);
+		assertThat(lost.records()).isEmpty();
+		assertThat(this.feed.isSnapshotting()).isTrue();
+		assertThat(this.feed.hadOutageWithin(1_000, 100)).isTrue();
+		KeyedFeed.Update update = this.feed.onReadOutcome(pageOfEra(1, 12, 12, false, keyedRecord("c", 9)), 70, 80);
+		assertThat(update.snapshotKeys()).contains(Set.of("c"));
+		assertThat(this.feed.nextOffset()).isEqualTo(12);
+	}
+
+	@Test
+	void aResponseFromBeforeTheStoreWentBackIsIgnored() {
+		this.feed.onReadOutcome(pageOfEra(2, 10, 10, false), 0, 1);
+		this.feed.onReadOutcome(pageOfEra(1, 14, 14, false, keyedRecord("a", 13)), 50, 60);
+		assertThat(this.feed.nextOffset()).isEqualTo(10);
+		assertThat(this.feed.isSnapshotting()).isFalse();
+		assertThat(this.feed.ageNanos(100)).isEqualTo(Long.MAX_VALUE);
+	}
+
+	@Test
+	void aPeerThatReadTheStoreBeforeItWentBackConfirmsNothing() {
+		this.feed.onReadOutcome(pageOfEra(2, 10, 10, false), 0, 1);
+		this.feed.onPeerConfirmation(1, 8, 40);
+		assertThat(this.feed.ageNanos(100)).isEqualTo(Long.MAX_VALUE);
+		this.feed.onPeerConfirmation(2, 8, 40);
+		assertThat(this.feed.ageNanos(100)).isEqualTo(60);
+	}
+
+	@Test
+	void confirmationsThatAreHeldDoNotCount() {
+		readSnapshot(10);
+		this.feed.setConfirmationsHeld(true);
+		this.feed.onReadOutcome(page(10, 10, false), 50, 90);
+		this.feed.onPeerConfirmation(0, 10, 60);
+		assertThat(this.feed.ageNanos(100)).isEqualTo(Long.MAX_VALUE);
+		this.feed.setConfirmationsHeld(false);
+		this.feed.onReadOutcome(page(10, 10, false), 70, 90);
+		assertThat(this.feed.ageNanos(100)).isEqualTo(30);
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
@@ -87,4 +87,15 @@
 		assertThat(this.directory.usableEndpoints("archive")).isEmpty();
 	}
 
+	// Guards against requests to an endpoint that left, after the store went back.
+	@Test
+	void theLastRegistrationOfAnEndpointThatLeftDoesNotBringItBack() {
+		this.directory.register(Samples.plain("a", 5, false));
+		this.directory.remove("a", false, 0);
+		assertThat(this.directory.register(Samples.plain("a", 5, false))).isFalse();
+		assertThat(this.directory.register(Samples.plain("a", 4, false))).isFalse();
+		assertThat(this.directory.usableEndpoints("archive")).isEmpty();
+		assertThat(this.directory.register(Samples.plain("a", 6, false))).isTrue();
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
@@ -325,7 +325,7 @@
 				this.nextRemoteRoundMs = now + remoteIntervalMs;
 			}
 			PeerMessage message = new PeerMessage(this.name, this.dataCentre, nowNanos(), 0, 0, -1, new HashMap<>(),
-					Map.of(), List.of(), this.limits.ownStatements(nowNanos()));
+					Map.of(), List.of(), this.limits.ownStatements(nowNanos()), 0);
 			for (Daemon other : SharedEndpointLimitTests.this.daemons.values()) {
 				if (other != this && (includeRemote || other.dataCentre.equals(this.dataCentre))) {
 					at(now + 1 + SharedEndpointLimitTests.this.random.nextInt(4), () -> other.receive(message));
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
@@ -36,7 +36,7 @@
 
 	private void runAsLeader(long fromMs, long toMs) {
 		for (long timeMs = fromMs; timeMs < toMs; timeMs += 200) {
-			this.lease.onMembership(true, 7, TimeUnit.MILLISECONDS.toNanos(timeMs));
+			this.lease.onMembership(new LeaderElection.Membership(0, 7, true), TimeUnit.MILLISECONDS.toNanos(timeMs));
 			this.coordinator.planAndOrder(this.services, TimeUnit.MILLISECONDS.toNanos(timeMs),
 					TimeUnit.MILLISECONDS.toNanos(timeMs) + 1_000_000_000_000L);
 		}
@@ -63,7 +63,7 @@
 	@Test
 	void nothingIsOrderedWithoutLeadership() {
 		register(8);
-		this.lease.onMembership(false, 7, 0);
+		this.lease.onMembership(new LeaderElection.Membership(0, 7, false), 0);
 		for (long timeMs = 0; timeMs < 8_000; timeMs += 200) {
 			this.coordinator.planAndOrder(this.services, TimeUnit.MILLISECONDS.toNanos(timeMs), 0);
 		}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -27,7 +27,7 @@
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
 		return new PeerMessage(sender, "a", 77, echoNanos, 12, ageNanos, loads, Map.of("e2", 4.5), List.of("e1"),
-				Map.of());
+				Map.of(), 3);
 	}
 
 	@Test
@@ -38,16 +38,19 @@
 
 	@Test
 	void aDecodedMessageHasTheLimitsOfEndpointsAndTheirEnds() {
-		PeerMessage message = new PeerMessage("b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of("e1",
-				new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)));
+		PeerMessage message = new PeerMessage(
+				"b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of("e1",
+						new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)),
+				2);
 		assertThat(PeerMessage.decode(message.encode())).contains(message);
 	}
 
 	@Test
-	void aMessageOfADaemonThatKnowsNoLimitsOfEndpointsIsReadWithoutThem() {
-		byte[] encoded = message("b", 5, 6, Map.of()).encode();
-		byte[] withoutLimits = Arrays.copyOf(encoded, encoded.length - Short.BYTES);
-		assertThat(PeerMessage.decode(withoutLimits)).contains(message("b", 5, 6, Map.of()));
+	void aMessageOfADaemonThatKnowsNeitherLimitsNorErasIsReadWithoutThem() {
+		PeerMessage expected = new PeerMessage("b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of(), -1);
+		byte[] encoded = expected.encode();
+		byte[] shorter = Arrays.copyOf(encoded, encoded.length - Short.BYTES - Long.BYTES);
+		assertThat(PeerMessage.decode(shorter)).contains(expected);
 	}
 
 	@Test
@@ -86,7 +89,7 @@
 	void theLoadsOfManyPeersCountUntilTheNextMessageOfEachIsDue() {
 		for (int peer = 0; peer < 78; peer++) {
 			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, 12, 0,
-					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of());
+					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), 0);
 			this.table.onMessage(message, ADDRESS, 0);
 		}
 		assertThat(this.table.totalLoads(TimeUnit.MILLISECONDS.toNanos(2_400)).daemonCount()).isEqualTo(78);
