Encode the message of a round to other daemons once

The message of a round differs only in the echo of each receiver's time but was encoded for each of 26 to 78 receivers. It is now encoded once, and the echo set in a copy. The datagrams are the same bytes as before; a test compares them.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -173,16 +173,15 @@
 			this.nextRemoteRoundNanos = now
 					+ TimeUnit.MILLISECONDS.toNanos(PeerSchedule.remoteIntervalMs(targets.size()));
 		}
+		byte[] datagram = new PeerMessage(this.name, this.dataCentre, now, 0, this.configurationFeed.nextOffset(),
+				(age == Long.MAX_VALUE) ? -1 : age, this.loads.ownLoads(),
+				this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
+				this.limits.ownStatements(System.nanoTime()), this.configurationFeed.era())
+			.encode();
 		for (PeerTable.Target target : targets) {
-			if (!includeRemote && !target.dataCentre().equals(this.dataCentre)) {
-				continue;
+			if (includeRemote || target.dataCentre().equals(this.dataCentre)) {
+				this.socket.send(PeerMessage.withEcho(datagram, target.echoNanos()), target.address());
 			}
-			this.socket.send(
-					new PeerMessage(this.name, this.dataCentre, now, target.echoNanos(),
-							this.configurationFeed.nextOffset(), (age == Long.MAX_VALUE) ? -1 : age,
-							this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
-							this.limits.ownStatements(System.nanoTime()), this.configurationFeed.era()),
-					target.address());
 		}
 		this.loop.schedule(this::sendRound, PeerSchedule.localIntervalMs(this.table.countLocalPeers()),
 				TimeUnit.MILLISECONDS);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -94,6 +95,20 @@
 		return bytes.toByteArray();
 	}
 
+	/**
+	 * Sets the echo of an encoded message, so that a message to many daemons, which
+	 * differs only in the echo, is encoded once.
+	 * @param datagram the encoded message, which stays unchanged
+	 * @param echoNanos the new echo
+	 * @return the content of the datagram with the echo
+	 */
+	static byte[] withEcho(byte[] datagram, long echoNanos) {
+		ByteBuffer copy = ByteBuffer.wrap(datagram.clone());
+		int dataCentreAt = Byte.BYTES + Short.BYTES + Short.toUnsignedInt(copy.getShort(Byte.BYTES));
+		int sentAt = dataCentreAt + Short.BYTES + Short.toUnsignedInt(copy.getShort(dataCentreAt));
+		return copy.putLong(sentAt + Long.BYTES, echoNanos).array();
+	}
+
 	/**
 	 * Decodes a datagram.
 	 * @param datagram the content of the datagram
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -49,13 +49,13 @@
 	}
 
 	/**
-	 * Sends a message. It may be lost, and is dropped while the socket is not open.
-	 * @param message the message
+	 * Sends a datagram. It may be lost, and is dropped while the socket is not open.
+	 * @param datagram the encoded message, which must not be changed afterwards
 	 * @param to address of the receiving daemon
 	 */
-	public void send(PeerMessage message, InetSocketAddress to) {
+	public void send(byte[] datagram, InetSocketAddress to) {
 		if (this.channel.isActive()) {
-			this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message.encode()), to));
+			this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
 		}
 	}
 
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -53,6 +53,14 @@
 		assertThat(PeerMessage.decode(shorter)).contains(expected);
 	}
 
+	@Test
+	void theEchoOfAnEncodedMessageCanBeSetForEachReceiver() {
+		byte[] encoded = message("b", 0, 6, Map.of("e", new Load(9_000, 3, 1))).encode();
+		assertThat(PeerMessage.decode(PeerMessage.withEcho(encoded, 55)))
+			.contains(message("b", 55, 6, Map.of("e", new Load(9_000, 3, 1))));
+		assertThat(PeerMessage.decode(encoded)).contains(message("b", 0, 6, Map.of("e", new Load(9_000, 3, 1))));
+	}
+
 	@Test
 	void bytesThatAreNotAMessageAreIgnored() {
 		assertThat(PeerMessage.decode(new byte[0])).isEmpty();
