Draw once for all engines and links of a path

Where the even part is less than one stream, each engine and link of a path drew on its own, so that a path over many of them was far less likely than its scarcest one. One number for all keeps them together.

DelayedLoadsTests passes as before.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerLoads.java
@@ -22,12 +22,14 @@
 	/** Own loads that were added since the daemons of all data centres were told. */
 	private final Map<String, Load> unreportedLoads = new HashMap<>();
 
+	private final RandomGenerator random;
+
 	/**
-	 * Random number between 0 and 1 by endpoint or link, drawn once between two reports.
+	 * Random number from 0 to 1, drawn once between two reports. It is the same for all
+	 * engines and links, so that a path over many of them is as likely as its scarcest
+	 * one.
 	 */
-	private final Map<String, Double> draws = new HashMap<>();
-
-	private final RandomGenerator random;
+	private double draw;
 
 	private PeerLoads peerLoads = PeerLoads.NONE;
 
@@ -40,6 +42,7 @@
 	 */
 	public LayerLoads(RandomGenerator random) {
 		this.random = random;
+		this.draw = random.nextDouble();
 	}
 
 	/**
@@ -147,7 +150,7 @@
 	 */
 	public void markReported() {
 		this.unreportedLoads.clear();
-		this.draws.clear();
+		this.draw = this.random.nextDouble();
 	}
 
 	/**
@@ -171,8 +174,7 @@
 		if (unreported > 0 || part >= need) {
 			return Math.min(free, part - unreported);
 		}
-		double draw = this.draws.computeIfAbsent(id, (key) -> this.random.nextDouble());
-		return (draw * need < part) ? Math.min(free, need) : 0;
+		return (this.draw * need < part) ? Math.min(free, need) : 0;
 	}
 
 	/**
