Write the metrics of an endpoint's limit without a changing label

The label for the source changed with each message of another daemon and began new series. Whether the last statement came from another daemon is a series of its own now.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointLimitMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointLimitMetrics.java
@@ -18,14 +18,24 @@
 	static String text(List<EndpointLimits.LimitState> states) {
 		StringBuilder text = new StringBuilder();
 		for (EndpointLimits.LimitState state : states) {
-			String labels = "{endpoint=\"" + state.id() + "\",source=\"" + state.source() + "\"} ";
-			text.append(PREFIX).append(labels).append(state.requestsPerSecond()).append('\n');
-			text.append(PREFIX).append("_age_ms").append(labels).append(state.ageMs()).append('\n');
-			text.append(PREFIX).append("_part").append(labels).append(state.part()).append('\n');
-			text.append(PREFIX).append("_held_back_total").append(labels).append(state.heldBackCount()).append('\n');
-			text.append(PREFIX).append("_sent_total").append(labels).append(state.sentCount()).append('\n');
+			write(text, "", state.id(), state.requestsPerSecond());
+			write(text, "_age_ms", state.id(), state.ageMs());
+			write(text, "_from_peer", state.id(), (state.source() == EndpointLimits.Source.PEER) ? 1 : 0);
+			write(text, "_part", state.id(), state.part());
+			write(text, "_sent_total", state.id(), state.sentCount());
+			write(text, "_held_back_total", state.id(), state.heldBackCount());
 		}
 		return text.toString();
 	}
 
+	private static void write(StringBuilder text, String name, String endpoint, Number value) {
+		text.append(PREFIX)
+			.append(name)
+			.append("{endpoint=\"")
+			.append(endpoint)
+			.append("\"} ")
+			.append(value)
+			.append('\n');
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -621,9 +621,8 @@
 		return Optional.empty();
 	}
 
-	// Probes the engines of a slow stream for their slowdown factors, if their limits
-	// allow
-	// it.
+	// Probes the engines of a slow stream for their slowdown factors, as far as their
+	// limits allow.
 	void probeSlowStream(LayerPath path, long nowNanos) {
 		for (LayerPath.Stage stage : path.stages()) {
 			Endpoint endpoint = stage.endpoint();
