Check in the model that tokens increase after the store went back

The model of the leadership of layer placement lets the store come back with an older copy, in which the changes of the group are numbered anew. Each leader's token must be higher than all before.

--- a/spec/entry-duty.pml
+++ b/spec/entry-duty.pml
@@ -2,15 +2,18 @@
  * Leadership of the placement of layers, which the store gives to one of two entry daemons.
  *
  * The store makes the member the leader whose renewal arrives first, and another one once
- * the leader's last renewal is as old as the lease. Each change raises the generation,
- * which is the fencing token of the leader's orders. Renewals, their responses and orders
- * may take any time. At most once, the store also moves the leadership before the lease
- * has ended (proctype Store); then only the fencing tokens protect the engine.
+ * the leader's last renewal is as old as the lease. Each change raises the generation.
+ * The fencing token of the leader's orders is made of the era and the generation.
+ * Renewals, their responses and orders may take any time. At most once, the store also
+ * moves the leadership before the lease has ended, or comes back with an older copy, in
+ * which the generation is lower, and raises the era (proctype Store); then only the
+ * fencing tokens protect the engine.
  */
 
 // mutant: LEASE_FROM_ANSWER
 // mutant: ORDERS_AFTER_REFUSAL
 // mutant: NO_LEASE
+// mutant: TOKEN_WITHOUT_ERA
 
 #define NONE 255
 #define LEASE 2
@@ -20,7 +23,9 @@
 byte now;
 
 /* The store. */
+byte era;
 byte generation;
+byte issued;
 byte holder = NONE;
 byte renewedAt;
 bool reassigned;
@@ -47,6 +52,21 @@
 #endif
 #endif
 
+#ifdef TOKEN_WITHOUT_ERA
+#define TOKEN generation
+#else
+#define TOKEN (era * (MAX_GENERATION + 1) + generation)
+#endif
+
+/* Makes a member the leader. Its token is higher than all that were issued before. */
+inline elect(member) {
+	holder = member;
+	generation++;
+	renewedAt = now;
+	assert(TOKEN > issued);
+	issued = TOKEN
+}
+
 proctype Daemon(byte i) {
 	byte sent;
 	byte got;
@@ -59,11 +79,11 @@
 			if
 			:: holder == i -> renewedAt = now
 			:: holder != i && (holder == NONE || now - renewedAt >= LEASE) && generation < MAX_GENERATION ->
-				holder = i; generation++; renewedAt = now
+				elect(i)
 			:: else
 			fi;
 			mine = (holder == i);
-			got = generation
+			got = TOKEN
 		};
 		if
 		:: atomic {
@@ -113,11 +133,14 @@
 	od
 }
 
-/* The store may make the other member the leader although the lease has not ended. */
+/* The store may make the other member the leader although the lease has not ended, also
+   after it has come back with an older copy. */
 proctype Store() {
 	if
 	:: atomic { holder != NONE && generation < MAX_GENERATION ->
-		reassigned = true; holder = 1 - holder; generation++; renewedAt = now }
+		reassigned = true; elect(1 - holder) }
+	:: atomic { holder != NONE ->
+		reassigned = true; era++; generation = 0; elect(1 - holder) }
 	:: skip
 	fi
 }
