Receive messages of other daemons of any size

What callers saw: under load, streams were sent to engines that other daemons had already filled, waited there and were refused or late.

Cause: Netty's receive buffer for datagrams holds 2,048 bytes by default. A message carries about 22 bytes for each engine that the sender has streams on, so one with streams on more than about 85 engines was cut off, could not be decoded and was dropped without a trace. Exactly the busiest daemons fell silent for the others: their loads, faults, limits and confirmations of the configuration stopped counting.

Ruled out: the sender; it encodes and sends the whole message (at most 65,507 bytes fit, about 2,900 engines).

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -7,7 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -20,6 +22,12 @@
  */
 public final class PeerSocket {
 
+	/**
+	 * Size of the receive buffer, in bytes: the largest UDP datagram. A datagram that
+	 * does not fit is cut off and lost.
+	 */
+	private static final int RECEIVE_BUFFER_BYTES = 65_535;
+
 	private final Channel channel;
 
 	/**
@@ -31,6 +39,7 @@
 	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> onMessage) {
 		this.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
 				@Override
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
