Check the leader lease when an order is sent, not when it was planned

What callers saw: around a hand-over of the leadership, an engine could be ordered by the old leader and the new one, and drop its streams twice.

Cause: PlacementCoordinator asked LeaderLease.isHeld in the callback of the engine's report with the time of the round that had requested it. However late the report arrived, the lease counted as held then, and the order carried the token of that round. The engines' fencing stops such an order only after one under a higher token has arrived.

Now the callback takes the present time from a clock, requires that the order is still the one planned (a lost leadership forgets all), and takes the token of the present lease. The backoff of an order that failed counts from its outcome.

Two tests in PlacementCoordinatorTests failed before: a report after the end of the lease, and one after the leadership was lost and regained.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -122,7 +122,7 @@
 				this.configurationFeed, this.router.loads(), this.router.slowdowns(), this.router.faults(),
 				this.router.endpointLimits(), this.router.retryBudget());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
-				ports.engines(), this.leaderLease);
+				ports.engines(), this.leaderLease, this.clock::nanos);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
 		this.configurationReader.setOnStoreWentBack(this::onStoreWentBack);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -4,9 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
@@ -62,6 +62,9 @@
 
 	private final LeaderLease lease;
 
+	/** Clock for the responses of engines, which may arrive long after their round. */
+	private final LongSupplier elapsedNanos;
+
 	/** Orders in progress by identity of the endpoint. */
 	private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
 
@@ -84,14 +87,16 @@
 	 * @param loads the loads, from which the number of streams per endpoint is taken
 	 * @param control control calls to engines
 	 * @param lease the leader lease, without which no order is given
+	 * @param elapsedNanos clock of the elapsed time, in ns, to which the lease refers
 	 */
 	public PlacementCoordinator(EndpointDirectory directory, EndpointFaults faults, LayerLoads loads,
-			EngineControl control, LeaderLease lease) {
+			EngineControl control, LeaderLease lease, LongSupplier elapsedNanos) {
 		this.directory = directory;
 		this.faults = faults;
 		this.loads = loads;
 		this.control = control;
 		this.lease = lease;
+		this.elapsedNanos = elapsedNanos;
 	}
 
 	/**
@@ -193,25 +198,35 @@
 	private void startOrder(Endpoint endpoint, LayerRange range, long nowNanos) {
 		PendingOrder order = new PendingOrder(range, endpoint.incarnationStartMs(), nowNanos + ORDER_TIMEOUT_NANOS);
 		this.pendingOrders.put(endpoint.id(), order);
-		long fencingToken = this.lease.fencingToken();
-		this.control.fetchReport(endpoint, (report) -> {
-			if (report.isEmpty() || report.get().busy()) {
-				EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome",
-						(report.isEmpty()) ? "no report" : "busy");
-				scheduleRetry(endpoint, order, nowNanos);
-				return;
-			}
-			if (!report.get().layers().equals(Optional.of(range)) && this.lease.isHeld(nowNanos)) {
-				EntryLog.write(EntryEvent.LAYERS_ORDERED, endpoint.id(), "range", range, "fence", fencingToken, "had",
-						endpoint.layers());
-				this.control.orderLayers(endpoint, range, fencingToken, report.get().orderCount(),
-						(outcome) -> onOutcome(endpoint, order, fencingToken, outcome, nowNanos));
-			}
-		});
+		this.control.fetchReport(endpoint,
+				(report) -> onReport(endpoint, order, report, this.elapsedNanos.getAsLong()));
+	}
+
+	// The lease may have ended, and another daemon may have ordered the engine, since the
+	// report was requested.
+	private void onReport(Endpoint endpoint, PendingOrder order, Optional<EngineControl.Report> report, long nowNanos) {
+		LayerRange range = order.range();
+		if (!this.lease.isHeld(nowNanos) || this.pendingOrders.get(endpoint.id()) != order) {
+			EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome", "no longer due");
+			return;
+		}
+		if (report.isEmpty() || report.get().busy()) {
+			EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome",
+					(report.isEmpty()) ? "no report" : "busy");
+			scheduleRetry(endpoint, order, nowNanos);
+			return;
+		}
+		if (!report.get().layers().equals(Optional.of(range))) {
+			long fencingToken = this.lease.fencingToken();
+			EntryLog.write(EntryEvent.LAYERS_ORDERED, endpoint.id(), "range", range, "fence", fencingToken, "had",
+					endpoint.layers());
+			this.control.orderLayers(endpoint, range, fencingToken, report.get().orderCount(),
+					(outcome) -> onOutcome(endpoint, order, fencingToken, outcome, this.elapsedNanos.getAsLong()));
+		}
 	}
 
 	private void onOutcome(Endpoint endpoint, PendingOrder order, long fencingToken, EngineControl.OrderOutcome outcome,
-			long orderedAtNanos) {
+			long nowNanos) {
 		if (outcome == EngineControl.OrderOutcome.ACCEPTED) {
 			return;
 		}
@@ -220,15 +235,15 @@
 		if (outcome == EngineControl.OrderOutcome.FENCED) {
 			this.lease.recordRejectedToken(fencingToken);
 		}
-		scheduleRetry(endpoint, order, orderedAtNanos);
+		scheduleRetry(endpoint, order, nowNanos);
 	}
 
 	// Keeps the order as pending for the backoff, after which the endpoint is planned
 	// again.
-	private void scheduleRetry(Endpoint endpoint, PendingOrder order, long orderedAtNanos) {
-		if (Objects.equals(this.pendingOrders.get(endpoint.id()), order)) {
+	private void scheduleRetry(Endpoint endpoint, PendingOrder order, long nowNanos) {
+		if (this.pendingOrders.get(endpoint.id()) == order) {
 			this.pendingOrders.put(endpoint.id(),
-					new PendingOrder(order.range(), order.bornMs(), orderedAtNanos + RETRY_BACKOFF_NANOS));
+					new PendingOrder(order.range(), order.bornMs(), nowNanos + RETRY_BACKOFF_NANOS));
 		}
 	}
 
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
@@ -30,12 +30,15 @@
 	private final LeaderLease lease = new LeaderLease();
 
 	private final PlacementCoordinator coordinator = new PlacementCoordinator(this.directory, new EndpointFaults(),
-			new LayerLoads(new SplittableRandom(1)), this.engines, this.lease);
+			new LayerLoads(new SplittableRandom(1)), this.engines, this.lease, () -> this.nowNanos);
+
+	private long nowNanos;
 
 	private final List<ServiceSpec> services = List.of(new ServiceSpec("model", 100, Optional.of(Samples.engine())));
 
 	private void runAsLeader(long fromMs, long toMs) {
 		for (long timeMs = fromMs; timeMs < toMs; timeMs += 200) {
+			this.nowNanos = TimeUnit.MILLISECONDS.toNanos(timeMs);
 			this.lease.onMembership(new LeaderElection.Membership(0, 7, true), TimeUnit.MILLISECONDS.toNanos(timeMs));
 			this.coordinator.planAndOrder(this.services, TimeUnit.MILLISECONDS.toNanos(timeMs),
 					TimeUnit.MILLISECONDS.toNanos(timeMs) + 1_000_000_000_000L);
@@ -96,6 +99,30 @@
 		assertThat(this.engines.orderedRanges).hasSize(1);
 	}
 
+	// The store has chosen another leader by then, whose orders would be repeated.
+	@Test
+	void noOrderFollowsAReportThatArrivesAfterTheLeaseHasEnded() {
+		register(8);
+		this.engines.holdsReports = true;
+		runAsLeader(0, 3_400);
+		this.nowNanos = TimeUnit.MILLISECONDS.toNanos(3_400 + LeaderLease.TTL_MS);
+		this.engines.sendHeldReports();
+		assertThat(this.engines.orderedRanges).isEmpty();
+	}
+
+	@Test
+	void noOrderFollowsAReportThatArrivesAfterTheLeadershipWasLostAndRegained() {
+		register(8);
+		this.engines.holdsReports = true;
+		runAsLeader(0, 3_400);
+		this.lease.onMembership(new LeaderElection.Membership(0, 8, false), this.nowNanos);
+		this.coordinator.planAndOrder(this.services, this.nowNanos, this.nowNanos);
+		this.lease.onMembership(new LeaderElection.Membership(0, 9, true), this.nowNanos);
+		this.coordinator.planAndOrder(this.services, this.nowNanos, this.nowNanos);
+		this.engines.sendHeldReports();
+		assertThat(this.engines.orderedRanges).isEmpty();
+	}
+
 	private static final class RecordingEngineControl implements EngineControl {
 
 		private final List<LayerRange> orderedRanges = new ArrayList<>();
@@ -104,11 +131,25 @@
 
 		private final List<Long> expectedOrderCounts = new ArrayList<>();
 
+		private final List<Consumer<Optional<Report>>> heldReports = new ArrayList<>();
+
+		private boolean holdsReports;
+
 		private OrderOutcome outcome = OrderOutcome.ACCEPTED;
 
 		@Override
 		public void fetchReport(Endpoint endpoint, Consumer<Optional<Report>> callback) {
-			callback.accept(Optional.of(new Report(Optional.empty(), 3, false, 1, List.of())));
+			this.heldReports.add(callback);
+			if (!this.holdsReports) {
+				sendHeldReports();
+			}
+		}
+
+		private void sendHeldReports() {
+			List<Consumer<Optional<Report>>> held = List.copyOf(this.heldReports);
+			this.heldReports.clear();
+			held.forEach(
+					(callback) -> callback.accept(Optional.of(new Report(Optional.empty(), 3, false, 1, List.of()))));
 		}
 
 		@Override
