--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -12,6 +12,7 @@
 import org.comfreyslip.entry.config.FeedReader;
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
+import org.comfreyslip.entry.config.ReadIntervals;
 import org.comfreyslip.entry.fleet.EndpointDirectory;
 import org.comfreyslip.entry.http.Listeners;
 import org.comfreyslip.entry.http.Router;
@@ -20,6 +21,7 @@
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.peer.PeerExchange;
+import org.comfreyslip.entry.peer.RegistrationRelay;
 
 /**
  * One entry daemon. It reads the topics of the store, takes part in the election of the
@@ -49,20 +51,14 @@
 	private static final long HOUSEKEEPING_INTERVAL_MS = 200;
 
 	/**
-	 * How long a read of the configuration waits at the store, in ms. Each read confirms
-	 * the age of the configuration, well within the bound up to which API keys are
-	 * accepted.
+	 * Intervals at which the configuration is read. Each read confirms its age, well
+	 * within the bound up to which API keys are accepted, also for daemons that learn of
+	 * it through the next message of the reader.
 	 */
-	private static final long CONFIGURATION_WAIT_MS = 2_000;
+	private static final ReadIntervals CONFIGURATION_INTERVALS = new ReadIntervals(2_000, 2_000, 0, 3_200, true);
 
-	/** How long a read of the registrations waits at the store, in ms. */
-	private static final long ENDPOINTS_WAIT_MS = 1_500;
-
-	/**
-	 * Pause after a read that returned registrations, in ms. That an endpoint is leaving
-	 * must be known within 2 s.
-	 */
-	private static final long ENDPOINTS_READ_PAUSE_MS = 700;
+	/** Time in which registrations that the reader knows arrive from it, in ms. */
+	private static final long RELAY_GRACE_MS = 150;
 
 	private final EventLoop loop;
 
@@ -119,15 +115,16 @@
 				ports.engines(), new SplittableRandom());
 		this.peers = new PeerExchange(loop, settings.name(), settings.dataCentre(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
-				this.configurationFeed, this.router.loads(), this.router.slowdowns(), this.router.faults(),
-				this.router.endpointLimits(), this.router.retryBudget());
+				this.configurationFeed, this.endpointFeed, this.router.loads(), this.router.slowdowns(),
+				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
-				this.clock::nanos, this::onConfigurations, CONFIGURATION_WAIT_MS, 0);
+				this.clock::nanos, this::onConfigurations, CONFIGURATION_INTERVALS, this.peers::storeReading, 0);
 		this.configurationReader.setOnStoreWentBack(this::onStoreWentBack);
 		this.endpointReader = new FeedReader(loop, "endpoints", ports.endpoints(), this.endpointFeed, this.clock::nanos,
-				this::onEndpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_READ_PAUSE_MS);
+				this::onEndpoints, PeerExchange.REGISTRATION_INTERVALS, this.peers::storeReading, RELAY_GRACE_MS);
+		this.peers.setOnRelay(this::onRelay);
 	}
 
 	/** Starts to listen and to read the store. Must be called on the event loop. */
@@ -202,7 +199,13 @@
 		}
 	}
 
+	// Only daemons that read the store for others stand for election, since each renewal
+	// is a call to the store.
 	private void renewLeadership() {
+		if (!this.peers.storeReading().reads() && !this.leaderLease.isLeader()) {
+			this.loop.schedule(this::renewLeadership, LeaderLease.RENEWAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		long sentAtNanos = this.clock.nanos();
 		this.ports.leadership().join(this.leaderLease.generation(), LeaderLease.TTL_MS, (joined) -> {
 			joined.ifPresent((result) -> this.leaderLease.onMembership(result, sentAtNanos));
@@ -217,6 +220,7 @@
 	private void onStoreWentBack() {
 		this.router.recordStoreWentBack();
 		this.leaderLease.onStoreWentBack(this.configurationFeed.era());
+		this.peers.onStoreWentBack(this.configurationFeed.era());
 		this.configurationFeed.setConfirmationsHeld(this.router.configuration().isPresent());
 	}
 
@@ -251,6 +255,22 @@
 	private void onEndpoints(KeyedFeed.Update update) {
 		long now = this.clock.nanos();
 		boolean nearOutage = this.endpointFeed.hadOutageWithin(EndpointDirectory.LAPSED_USABLE_NANOS, now);
+		applyEndpoints(update, nearOutage, now);
+		if (update.snapshotKeys().isEmpty()) {
+			this.peers.relay(update.records(), nearOutage);
+		}
+	}
+
+	// Applies registrations that another daemon has read.
+	private void onRelay(RegistrationRelay relay) {
+		long now = this.clock.nanos();
+		KeyedFeed.Update update = this.endpointFeed.onRelayedRecords(relay.era(), relay.records());
+		boolean nearOutage = relay.nearOutage()
+				|| this.endpointFeed.hadOutageWithin(EndpointDirectory.LAPSED_USABLE_NANOS, now);
+		applyEndpoints(update, nearOutage, now);
+	}
+
+	private void applyEndpoints(KeyedFeed.Update update, boolean nearOutage, long now) {
 		for (KeyedRecord keyed : update.records()) {
 			if (keyed.value().isPresent()) {
 				register(keyed, keyed.value().get());
@@ -323,6 +343,7 @@
 		this.stopping = true;
 		this.stopRequestedAtNanos = System.nanoTime();
 		this.router.announceStop();
+		this.peers.stopReadingForOthers();
 		this.ports.leadership().leave();
 		EntryLog.write(EntryEvent.STOPPING, this.settings.name(), "callers", this.router.callerCount());
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -47,6 +47,11 @@
 	/** The store has come back with an older copy of its records. */
 	STORE_WENT_BACK(8105, Level.WARNING),
 
+	/**
+	 * This daemon reads the store for its data centre from now on, or follows another.
+	 */
+	STORE_READING(8106, Level.INFO),
+
 	/** An endpoint registered or changed its registration. */
 	ENDPOINT_CHANGED(8201, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.comfreyslip.entry.EntryEvent;
@@ -10,7 +11,9 @@
 import org.comfreyslip.entry.config.KeyedLog.Outcome;
 
 /**
- * Reads a keyed topic continuously and passes on each update. Runs on the event loop.
+ * Reads a keyed topic and passes on each update: continuously, or, while another daemon
+ * reads for this one, only if that one knows records that have not arrived here or the
+ * knowledge has become too old. Runs on the event loop.
  */
 public final class FeedReader {
 
@@ -25,6 +28,18 @@
 	 */
 	private static final long MAX_BACKOFF_MS = 400;
 
+	/**
+	 * Backoff of a follower for each other daemon of its data centre, in ms; bounds the
+	 * calls of all of them while the store is away.
+	 */
+	private static final long FOLLOWER_BACKOFF_MS_PER_PEER = 200;
+
+	/** Longest backoff of a follower, in ms. */
+	private static final long MAX_FOLLOWER_BACKOFF_MS = 4_000;
+
+	/** Interval at which a follower checks whether it has to read, in ms. */
+	private static final long FOLLOWER_CHECK_MS = 100;
+
 	private final EventLoop loop;
 
 	private final String topicName;
@@ -40,12 +55,20 @@
 	private Runnable onStoreWentBack = () -> {
 	};
 
-	private final long waitMs;
+	private final ReadIntervals intervals;
 
-	private final long readPauseMs;
+	private final Supplier<StoreReading> reading;
+
+	private final long relayGraceNanos;
 
 	private long backoffMs = FIRST_BACKOFF_MS;
 
+	/** Elapsed time in ns of the last failed read of a follower. */
+	private long followerFailedAtNanos;
+
+	/** Elapsed time in ns up to which a follower waits after a failed read. */
+	private long followerPauseEndNanos;
+
 	private boolean snapshotComplete;
 
 	/**
@@ -56,20 +79,23 @@
 	 * @param feed tracks the position in the topic, with the outcomes of this reader only
 	 * @param elapsedNanos clock of the elapsed time, in ns
 	 * @param apply receives each update that has records or completes a snapshot
-	 * @param waitMs how long a read waits at the store for records, in ms
-	 * @param readPauseMs pause after a read that returned records, in ms, so that records
-	 * that arrive one by one are read together
+	 * @param intervals intervals at which the topic is read
+	 * @param reading tells whether this daemon reads for itself
+	 * @param relayGraceMs time in which records that the reading daemon knows may still
+	 * arrive from it, in ms; 0 if it does not pass them on
 	 */
 	public FeedReader(EventLoop loop, String topicName, KeyedLog log, KeyedFeed feed, LongSupplier elapsedNanos,
-			Consumer<KeyedFeed.Update> apply, long waitMs, long readPauseMs) {
+			Consumer<KeyedFeed.Update> apply, ReadIntervals intervals, Supplier<StoreReading> reading,
+			long relayGraceMs) {
 		this.loop = loop;
 		this.topicName = topicName;
 		this.log = log;
 		this.feed = feed;
 		this.elapsedNanos = elapsedNanos;
 		this.apply = apply;
-		this.waitMs = waitMs;
-		this.readPauseMs = readPauseMs;
+		this.intervals = intervals;
+		this.reading = reading;
+		this.relayGraceNanos = TimeUnit.MILLISECONDS.toNanos(relayGraceMs);
 	}
 
 	/**
@@ -81,23 +107,40 @@
 		this.onStoreWentBack = action;
 	}
 
-	/** Sends the next read; each outcome schedules the read after it. */
+	/** Sends the next read when it is due; each outcome schedules the read after it. */
 	public void start() {
-		long sentAtNanos = this.elapsedNanos.getAsLong();
+		long now = this.elapsedNanos.getAsLong();
+		StoreReading role = this.reading.get();
 		if (this.feed.isSnapshotting()) {
-			this.log.readNewest(this.feed.afterKey(), (outcome) -> onReadOutcome(outcome, sentAtNanos));
+			this.log.readNewest(this.feed.afterKey(), (outcome) -> onReadOutcome(outcome, now));
+		}
+		else if (role.reads() || isOverdue(now)) {
+			long waitMs = this.intervals.waitMs(role);
+			this.log.read(this.feed.nextOffset(), (!role.reads() || mustBeConfirmed(waitMs, now)) ? 0 : waitMs,
+					(outcome) -> onReadOutcome(outcome, now));
 		}
 		else {
-			this.log.read(this.feed.nextOffset(), (mustBeConfirmed(sentAtNanos)) ? 0 : this.waitMs,
-					(outcome) -> onReadOutcome(outcome, sentAtNanos));
+			this.loop.schedule(this::start, FOLLOWER_CHECK_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	// Tells whether a follower has to read because it was not told in time. After a
+	// failed
+	// read it waits, unless another daemon has read more since.
+	private boolean isOverdue(long nowNanos) {
+		if (this.feed.isBehindPeers(this.relayGraceNanos, nowNanos)
+				&& this.feed.behindSinceNanos() - this.followerFailedAtNanos > 0) {
+			return true;
 		}
+		return nowNanos - this.followerPauseEndNanos >= 0 && (this.feed.isBehindPeers(this.relayGraceNanos, nowNanos)
+				|| this.feed.ageNanos(nowNanos) > TimeUnit.MILLISECONDS.toNanos(this.intervals.maxFollowerAgeMs()));
 	}
 
 	// After a start or an outage the knowledge must be confirmed before any request is
 	// served, and the store may have gone back, so the read does not wait for new
 	// records.
-	private boolean mustBeConfirmed(long nowNanos) {
-		boolean stale = this.feed.ageNanos(nowNanos) > TimeUnit.MILLISECONDS.toNanos(2 * this.waitMs);
+	private boolean mustBeConfirmed(long waitMs, long nowNanos) {
+		boolean stale = this.feed.ageNanos(nowNanos) > TimeUnit.MILLISECONDS.toNanos(2 * waitMs);
 		return this.feed.isStoreUnavailable() || (stale && !this.feed.areConfirmationsHeld());
 	}
 
@@ -124,7 +167,7 @@
 			apply(update);
 		}
 		this.snapshotComplete |= !this.feed.isSnapshotting();
-		this.loop.schedule(this::start, nextPauseMs(outcome, update), TimeUnit.MILLISECONDS);
+		this.loop.schedule(this::start, nextPauseMs(outcome, update, now), TimeUnit.MILLISECONDS);
 	}
 
 	// An update that cannot be applied must not stop the reader.
@@ -137,14 +180,30 @@
 		}
 	}
 
-	private long nextPauseMs(Outcome outcome, KeyedFeed.Update update) {
-		if (!(outcome instanceof Outcome.Page)) {
+	private long nextPauseMs(Outcome outcome, KeyedFeed.Update update, long nowNanos) {
+		StoreReading role = this.reading.get();
+		boolean failed = !(outcome instanceof Outcome.Page);
+		if (!failed) {
+			this.backoffMs = FIRST_BACKOFF_MS;
+		}
+		if (!role.reads() && this.snapshotComplete) {
+			if (failed) {
+				this.followerFailedAtNanos = nowNanos;
+				this.followerPauseEndNanos = nowNanos + followerBackoffNanos(role);
+			}
+			return (this.feed.isSnapshotting() && !failed) ? 0 : FOLLOWER_CHECK_MS;
+		}
+		if (failed) {
 			long pause = this.backoffMs;
 			this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * pause);
 			return pause;
 		}
-		this.backoffMs = FIRST_BACKOFF_MS;
-		return (this.feed.isSnapshotting() || update.records().isEmpty()) ? 0 : this.readPauseMs;
+		return (this.feed.isSnapshotting() || update.records().isEmpty()) ? 0 : this.intervals.pauseMs();
+	}
+
+	private static long followerBackoffNanos(StoreReading role) {
+		return TimeUnit.MILLISECONDS.toNanos(Math.max(MAX_BACKOFF_MS,
+				Math.min(MAX_FOLLOWER_BACKOFF_MS, FOLLOWER_BACKOFF_MS_PER_PEER * role.localPeers())));
 	}
 
 	private void logAvailabilityChange(Outcome outcome, boolean wasFailing, long ageNanos) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
@@ -45,6 +46,12 @@
 
 	private boolean recovered;
 
+	/** Position furthest in the topic that another daemon has stated. */
+	private TopicPosition peerPosition = TopicPosition.UNKNOWN;
+
+	/** Elapsed time in ns since which this daemon has been behind that position. */
+	private long behindSinceNanos;
+
 	/**
 	 * Handles the outcome of the last read.
 	 * @param outcome the outcome
@@ -158,6 +165,80 @@
 		}
 	}
 
+	/**
+	 * Handles the position of another daemon.
+	 * @param position the position that it stated
+	 * @param confirmedAtNanos elapsed time of this daemon that is no later than the
+	 * moment at which the position was the end of the topic, in ns; empty if the
+	 * statement cannot be dated
+	 * @param nowNanos the current elapsed time in ns
+	 */
+	public void onPeerPosition(TopicPosition position, OptionalLong confirmedAtNanos, long nowNanos) {
+		if (position.isBeyond(this.peerPosition)) {
+			if (!isBehindPeers()) {
+				this.behindSinceNanos = nowNanos;
+			}
+			this.peerPosition = position;
+		}
+		confirmedAtNanos.ifPresent((atNanos) -> onPeerConfirmation(position.era(), position.offset(), atNanos));
+	}
+
+	private boolean isBehindPeers() {
+		return this.peerPosition.isBeyond(new TopicPosition(this.nextOffset, -1, this.era));
+	}
+
+	/**
+	 * Tells whether another daemon has known records for some time that this one lacks.
+	 * @param graceNanos time in which they may still arrive from that daemon, in ns
+	 * @param nowNanos the current elapsed time in ns
+	 * @return whether this daemon should read the topic
+	 */
+	public boolean isBehindPeers(long graceNanos, long nowNanos) {
+		return isBehindPeers() && nowNanos - this.behindSinceNanos >= graceNanos;
+	}
+
+	/**
+	 * Returns since when other daemons have known records that this one lacks.
+	 * @return the elapsed time in ns, of the last time if this daemon lacks none now
+	 */
+	long behindSinceNanos() {
+		return this.behindSinceNanos;
+	}
+
+	/**
+	 * Returns the position up to which the topic has been read.
+	 * @param currentNanos age in ns up to which the knowledge counts as current because
+	 * this daemon waits at the store for the next record; 0 if the age at the store
+	 * matters
+	 * @param nowNanos the current elapsed time in ns
+	 * @return the position; {@link TopicPosition#UNKNOWN} before the snapshot is complete
+	 */
+	public TopicPosition position(long currentNanos, long nowNanos) {
+		if (this.snapshotting) {
+			return TopicPosition.UNKNOWN;
+		}
+		long age = (this.confirmed) ? ageNanos(nowNanos) : -1;
+		return new TopicPosition(this.nextOffset, (age >= 0 && age <= currentNanos) ? 0 : age, this.era);
+	}
+
+	/**
+	 * Handles records that another daemon has read and passed on. They confirm nothing:
+	 * records after them may exist.
+	 * @param relayEra era of the store to which the offsets of the records belong
+	 * @param records the records, with consecutive offsets; not empty
+	 * @return the records to apply; none if records before them are missing here
+	 */
+	public Update onRelayedRecords(long relayEra, List<KeyedRecord> records) {
+		if (this.snapshotting || relayEra != this.era || records.get(0).offset() > this.nextOffset) {
+			return Update.NONE;
+		}
+		List<KeyedRecord> unread = records.stream().filter((keyed) -> keyed.offset() >= this.nextOffset).toList();
+		if (!unread.isEmpty()) {
+			this.nextOffset = unread.get(unread.size() - 1).offset() + 1;
+		}
+		return new Update(unread, Optional.empty());
+	}
+
 	/**
 	 * Returns how often the store had gone back to an older copy at the last read.
 	 * @return the number that the store stated, 0 if it states none; negative before the
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
@@ -92,6 +92,14 @@
 		return this.leader && remainingNanos > 0 && fencingToken() > this.highestRejectedToken;
 	}
 
+	/**
+	 * Tells whether the store named this daemon the leader in its last response.
+	 * @return whether it did, also if the lease has expired since
+	 */
+	public boolean isLeader() {
+		return this.leader;
+	}
+
 	/**
 	 * Returns the fencing token of the orders of this daemon. It increases with each
 	 * change of the group, also when the store goes back to an older copy.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -3,13 +3,20 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.comfreyslip.entry.EntryEvent;
+import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.config.FeedReader;
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
+import org.comfreyslip.entry.config.ReadIntervals;
+import org.comfreyslip.entry.config.StoreReading;
+import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.fleet.EndpointFaults;
 import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
@@ -23,10 +30,17 @@
 public final class PeerExchange {
 
 	/**
-	 * How long a read of the announcements waits at the store, in ms. They change only
-	 * with the set of daemons.
+	 * Age from which the announcements are read again, in ms. A daemon that starts reads
+	 * all of them after its own and sends messages to all others, so that this only finds
+	 * daemons whose messages do not arrive.
 	 */
-	private static final long ANNOUNCEMENTS_WAIT_MS = 20_000;
+	private static final long ANNOUNCEMENTS_MAX_AGE_MS = 60_000;
+
+	/**
+	 * Intervals at which the registrations are read. That an endpoint is leaving must be
+	 * known within 2 s.
+	 */
+	public static final ReadIntervals REGISTRATION_INTERVALS = new ReadIntervals(1_500, 700, 700, 1_600, false);
 
 	/** Pause before a failed announcement is retried, in ms. */
 	private static final long ANNOUNCE_RETRY_MS = 700;
@@ -45,6 +59,8 @@
 
 	private final KeyedFeed configurationFeed;
 
+	private final KeyedFeed registrationsFeed;
+
 	private final LayerLoads loads;
 
 	private final EngineSlowdowns slowdownFactors;
@@ -59,8 +75,19 @@
 
 	private final KeyedFeed announcementsFeed = new KeyedFeed();
 
+	private Consumer<RegistrationRelay> onRelay = (relay) -> {
+	};
+
 	private PeerSocket socket;
 
+	private StoreReading storeReading = StoreReading.ALONE;
+
+	/** Whether this daemon is shutting down and no longer reads for others. */
+	private boolean stopping;
+
+	/** Whether the announcements are being read. */
+	private boolean readingAnnouncements;
+
 	/** Whether the store has acknowledged an announcement. */
 	private boolean announced;
 
@@ -79,6 +106,8 @@
 	 * @param registry the announcements of all daemons
 	 * @param elapsedNanos clock of the elapsed time, in ns
 	 * @param configurationFeed position in the configuration topic; confirmed by peers
+	 * @param registrationsFeed position in the registrations of endpoints; confirmed by
+	 * peers
 	 * @param loads loads of the endpoints; own ones are sent, those of peers are received
 	 * @param slowdownFactors slowdown factors of the engines; sent and received
 	 * @param faults faults of the endpoints; sent and received
@@ -86,8 +115,9 @@
 	 * @param budget retry budget that the daemons share
 	 */
 	public PeerExchange(EventLoop loop, String name, String dataCentre, InetSocketAddress address,
-			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configurationFeed, LayerLoads loads,
-			EngineSlowdowns slowdownFactors, EndpointFaults faults, EndpointLimits limits, RetryBudget budget) {
+			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configurationFeed, KeyedFeed registrationsFeed,
+			LayerLoads loads, EngineSlowdowns slowdownFactors, EndpointFaults faults, EndpointLimits limits,
+			RetryBudget budget) {
 		this.loop = loop;
 		this.name = name;
 		this.dataCentre = dataCentre;
@@ -95,6 +125,7 @@
 		this.registry = registry;
 		this.elapsedNanos = elapsedNanos;
 		this.configurationFeed = configurationFeed;
+		this.registrationsFeed = registrationsFeed;
 		this.loads = loads;
 		this.slowdownFactors = slowdownFactors;
 		this.faults = faults;
@@ -103,13 +134,18 @@
 		this.table = new PeerTable(dataCentre);
 	}
 
+	/**
+	 * Sets what is done with the registrations that another daemon passes on.
+	 * @param action takes each relay of a daemon of this data centre
+	 */
+	public void setOnRelay(Consumer<RegistrationRelay> action) {
+		this.onRelay = action;
+	}
+
 	/** Opens the socket and starts the exchange. Must be called on the event loop. */
 	public void start() {
-		this.socket = new PeerSocket(this.loop, this.address, this::onMessage);
+		this.socket = new PeerSocket(this.loop, this.address, this::onMessage, (relay) -> this.onRelay.accept(relay));
 		announce();
-		new FeedReader(this.loop, "announcements", this.registry.announcements(), this.announcementsFeed,
-				this.elapsedNanos, this::onAnnouncements, ANNOUNCEMENTS_WAIT_MS, PeerSchedule.LOCAL_INTERVAL_MS)
-			.start();
 		this.loop.schedule(this::sendRound, PeerSchedule.LOCAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -120,14 +156,73 @@
 			if (!done) {
 				this.loop.schedule(this::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS);
 			}
+			startReadingAnnouncements();
 		});
 	}
 
+	// Of two daemons that start at the same time, the one that announces itself later
+	// finds the other, because each reads only after its own announcement.
+	private void startReadingAnnouncements() {
+		if (this.readingAnnouncements) {
+			return;
+		}
+		this.readingAnnouncements = true;
+		ReadIntervals intervals = new ReadIntervals(0, 0, 0, ANNOUNCEMENTS_MAX_AGE_MS, true);
+		new FeedReader(this.loop, "announcements", this.registry.announcements(), this.announcementsFeed,
+				this.elapsedNanos, this::onAnnouncements, intervals,
+				() -> new StoreReading(false, this.storeReading.localPeers(), 0, 0), 0)
+			.start();
+	}
+
+	/**
+	 * Reads the announcements anew, since the store may have lost that of this daemon.
+	 * @param era the present era of the store
+	 */
+	public void onStoreWentBack(long era) {
+		this.announcementsFeed.onPeerPosition(new TopicPosition(0, -1, era), OptionalLong.empty(),
+				this.elapsedNanos.getAsLong());
+	}
+
+	/** Leaves the reading of the store to other daemons. */
+	public void stopReadingForOthers() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Returns whether this daemon reads the store by itself, as of the last round.
+	 * @return the decision
+	 */
+	public StoreReading storeReading() {
+		return this.storeReading;
+	}
+
+	/**
+	 * Passes registrations that this daemon has read on to the daemons that follow it.
+	 * @param records the records, with consecutive offsets; may be empty
+	 * @param nearOutage whether the store was unavailable shortly before
+	 */
+	public void relay(List<KeyedRecord> records, boolean nearOutage) {
+		if (this.storeReading.followers() == 0) {
+			return;
+		}
+		for (RegistrationRelay relay : RegistrationRelay.split(this.name, this.registrationsFeed.era(), nearOutage,
+				records)) {
+			byte[] datagram = relay.encode();
+			for (PeerTable.Target target : this.table.targets()) {
+				if (target.dataCentre().equals(this.dataCentre)) {
+					this.socket.send(datagram, target.address());
+				}
+			}
+		}
+	}
+
 	private void onAnnouncements(KeyedFeed.Update update) {
 		if (this.announced && update.snapshotKeys().filter((keys) -> !keys.contains(this.name)).isPresent()) {
 			// The store has gone back to a copy from before the announcement.
 			announce();
 		}
+		// The daemons that are new here do not know this one either.
+		this.nextRemoteRoundNanos = this.elapsedNanos.getAsLong();
 		for (KeyedRecord keyed : update.records()) {
 			if (!keyed.key().equals(this.name)) {
 				keyed.value()
@@ -142,9 +237,11 @@
 			return;
 		}
 		long now = this.elapsedNanos.getAsLong();
-		this.table.onMessage(message, from, now)
-			.ifPresent((confirmation) -> this.configurationFeed.onPeerConfirmation(message.configurationEra(),
-					confirmation.offset(), confirmation.confirmedAtNanos()));
+		this.table.onMessage(message, from, now);
+		this.configurationFeed.onPeerPosition(message.configuration(),
+				message.confirmedAtNanos(message.configuration(), now), now);
+		this.registrationsFeed.onPeerPosition(message.registrations(),
+				message.confirmedAtNanos(message.registrations(), now), now);
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
 		message.limits().forEach((id, statement) -> this.limits.onPeerStatement(id, statement, System.nanoTime()));
@@ -165,7 +262,9 @@
 		this.lastRoundNanos = now;
 		this.limits.setPeers(this.table.livePeers(now), wasSilent, PeerSchedule.settlingNanos(targets.size()),
 				System.nanoTime());
-		long age = this.configurationFeed.ageNanos(now);
+		boolean storeReachable = !this.stopping && !this.configurationFeed.isStoreUnavailable()
+				&& !this.registrationsFeed.isStoreUnavailable();
+		updateStoreReading(storeReachable, now);
 		List<String> unreachable = new ArrayList<>(this.faults.locallyObservedFaults(System.nanoTime()));
 		boolean includeRemote = now - this.nextRemoteRoundNanos >= 0;
 		if (includeRemote) {
@@ -173,18 +272,28 @@
 			this.nextRemoteRoundNanos = now
 					+ TimeUnit.MILLISECONDS.toNanos(PeerSchedule.remoteIntervalMs(targets.size()));
 		}
-		byte[] datagram = new PeerMessage(this.name, this.dataCentre, now, 0, this.configurationFeed.nextOffset(),
-				(age == Long.MAX_VALUE) ? -1 : age, this.loads.ownLoads(),
-				this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
-				this.limits.ownStatements(System.nanoTime()), this.configurationFeed.era())
+		byte[] datagram = new PeerMessage(this.name, this.dataCentre, now, 0, this.configurationFeed.position(0, now),
+				this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
+				this.limits.ownStatements(System.nanoTime()),
+				this.registrationsFeed.position(REGISTRATION_INTERVALS.currentNanos(this.storeReading), now),
+				storeReachable)
 			.encode();
 		for (PeerTable.Target target : targets) {
 			if (includeRemote || target.dataCentre().equals(this.dataCentre)) {
 				this.socket.send(PeerMessage.withEcho(datagram, target.echoNanos()), target.address());
 			}
 		}
-		this.loop.schedule(this::sendRound, PeerSchedule.localIntervalMs(this.table.countLocalPeers()),
-				TimeUnit.MILLISECONDS);
+		this.loop.schedule(this::sendRound, PeerSchedule.roundIntervalMs(this.storeReading), TimeUnit.MILLISECONDS);
+	}
+
+	private void updateStoreReading(boolean storeReachable, long nowNanos) {
+		boolean readBefore = this.storeReading.reads();
+		this.storeReading = ReaderSelection.select(this.dataCentre, this.name, storeReachable,
+				this.table.liveLocalPeers(nowNanos));
+		if (readBefore != this.storeReading.reads()) {
+			EntryLog.write(EntryEvent.STORE_READING, this.name, "reads", this.storeReading.reads(), "local_peers",
+					this.storeReading.localPeers(), "store_reachable", storeReachable);
+		}
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -13,23 +13,25 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
+import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.LayerLoads.Load;
 
 /**
  * One datagram between daemons. The binary form holds the components in their order here,
- * after the format version. The limits and the era were added later: a daemon that does
- * not know them ignores the bytes, and a message that ends before them has neither.
+ * after the format version, apart from the positions: the offset and age of the
+ * configuration stand where its position is named here, and its era and the position in
+ * the registrations follow the limits. What begins with the limits was added later: a
+ * daemon that does not know it ignores the bytes, and a message may end before it.
  *
  * @param sender name of the sending daemon
  * @param dataCentre the sender's data centre
  * @param sentAtNanos the sender's elapsed time when it sent the message, in ns
  * @param echoNanos the latest {@code sentAtNanos} that the sender has received from the
  * receiver of this message; 0 if none
- * @param configurationOffset offset up to which the sender has read the configuration
- * @param configurationAgeNanos time since that offset was known to be the end of the
- * topic, in ns; negative if it never was
+ * @param configuration how far the sender has read the configuration
  * @param loads loads of the sender's own streams, by endpoint id or link between two data
  * centres; may be empty
  * @param slowdownFactors engines that the sender measured as slow, by endpoint id, with
@@ -38,12 +40,14 @@
  * fault that it observed itself; may be empty
  * @param limits request rates that endpoints stated to the sender itself, by endpoint id;
  * may be empty
- * @param configurationEra era of the store to which the configuration's offset belongs;
- * negative if the sender does not know it
+ * @param registrations how far the sender has read the registrations
+ * @param storeReachable whether the sender's last read of the store succeeded and it may
+ * read for others
  */
-public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos, long configurationOffset,
-		long configurationAgeNanos, Map<String, Load> loads, Map<String, Double> slowdownFactors,
-		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits, long configurationEra) {
+public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos,
+		TopicPosition configuration, Map<String, Load> loads, Map<String, Double> slowdownFactors,
+		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits, TopicPosition registrations,
+		boolean storeReachable) {
 
 	/** Version of the binary format; datagrams of another version are ignored. */
 	private static final int FORMAT_VERSION = 1;
@@ -51,6 +55,22 @@
 	/** Encoded rate of a limit that has ended. */
 	private static final double NO_LIMIT = -1;
 
+	/**
+	 * Returns when a position in this message was the end of its topic, by the clock of
+	 * the receiver. The sender measured the age after it had received the receiver's
+	 * message of the time {@link #echoNanos}. Subtracting the age from that time
+	 * therefore never gives too late a time, however long the datagram was in transit or
+	 * waited to be read.
+	 * @param position the position
+	 * @param nowNanos the receiver's elapsed time in ns
+	 * @return the receiver's elapsed time in ns that is no later than that moment; empty
+	 * if the message does not allow to tell
+	 */
+	OptionalLong confirmedAtNanos(TopicPosition position, long nowNanos) {
+		boolean datable = this.echoNanos > 0 && position.ageNanos() >= 0 && this.echoNanos <= nowNanos;
+		return (datable) ? OptionalLong.of(this.echoNanos - position.ageNanos()) : OptionalLong.empty();
+	}
+
 	/**
 	 * Encodes the message.
 	 * @return the content of the datagram
@@ -63,8 +83,8 @@
 			out.writeUTF(this.dataCentre);
 			out.writeLong(this.sentAtNanos);
 			out.writeLong(this.echoNanos);
-			out.writeLong(this.configurationOffset);
-			out.writeLong(this.configurationAgeNanos);
+			out.writeLong(this.configuration.offset());
+			out.writeLong(this.configuration.ageNanos());
 			out.writeShort(this.loads.size());
 			for (Map.Entry<String, Load> entry : this.loads.entrySet()) {
 				out.writeUTF(entry.getKey());
@@ -87,7 +107,11 @@
 				out.writeDouble(entry.getValue().requestsPerSecond().orElse(NO_LIMIT));
 				out.writeLong(entry.getValue().ageNanos());
 			}
-			out.writeLong(this.configurationEra);
+			out.writeLong(this.configuration.era());
+			out.writeLong(this.registrations.offset());
+			out.writeLong(this.registrations.ageNanos());
+			out.writeLong(this.registrations.era());
+			out.writeBoolean(this.storeReachable);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot encode a message to another daemon", ex);
@@ -137,8 +161,12 @@
 			for (int left = in.readUnsignedShort(); left > 0; left--) {
 				unreachableEndpoints.add(in.readUTF());
 			}
-			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, offset, age, loads, slowdownFactors,
-					unreachableEndpoints, readLimits(in), (in.available() > 0) ? in.readLong() : -1));
+			Map<String, EndpointLimits.Statement> limits = readLimits(in);
+			TopicPosition configuration = new TopicPosition(offset, age, (in.available() > 0) ? in.readLong() : -1);
+			TopicPosition registrations = (in.available() > 0)
+					? new TopicPosition(in.readLong(), in.readLong(), in.readLong()) : TopicPosition.UNKNOWN;
+			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, configuration, loads, slowdownFactors,
+					unreachableEndpoints, limits, registrations, in.available() > 0 && in.readBoolean()));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port, so bytes that are not a message are no
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSchedule.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.entry.config.StoreReading;
+
 /**
  * Intervals of the messages between daemons. Messages within a data centre are frequent,
  * since its daemons use the same engines; those to other data centres are charged for.
@@ -21,6 +23,12 @@
 	 */
 	private static final long INTERVAL_MS_PER_LOCAL_PEER = 8;
 
+	/**
+	 * Shortest interval for each daemon of the same data centre, in ms, if the sender
+	 * reads the store for them.
+	 */
+	private static final long READER_INTERVAL_MS_PER_LOCAL_PEER = 4;
+
 	/**
 	 * Shortest interval between two messages to a daemon of another data centre, in ms.
 	 */
@@ -59,6 +67,37 @@
 		return Math.max(LOCAL_INTERVAL_MS, INTERVAL_MS_PER_LOCAL_PEER * localPeers);
 	}
 
+	/**
+	 * Returns the interval between two messages of a daemon that reads the store to those
+	 * that follow it.
+	 * @param localPeers number of other daemons in the data centre
+	 * @return the interval, in ms
+	 */
+	static long readerIntervalMs(int localPeers) {
+		return Math.max(LOCAL_INTERVAL_MS, READER_INTERVAL_MS_PER_LOCAL_PEER * localPeers);
+	}
+
+	/**
+	 * Returns the interval between two rounds of messages of a daemon.
+	 * @param reading whether the daemon reads the store for others
+	 * @return the interval, in ms
+	 */
+	static long roundIntervalMs(StoreReading reading) {
+		return (reading.followers() > 0) ? readerIntervalMs(reading.localPeers())
+				: localIntervalMs(reading.localPeers());
+	}
+
+	/**
+	 * Returns how much later than the reader of a data centre a follower learns that its
+	 * knowledge is confirmed: its last message had to reach the reader, and the reader's
+	 * last but one has arrived.
+	 * @param localPeers number of other daemons in the data centre
+	 * @return the longest time without losses, in ms
+	 */
+	static long confirmationLagMs(int localPeers) {
+		return localIntervalMs(localPeers) + 2 * readerIntervalMs(localPeers);
+	}
+
 	/**
 	 * Returns the interval between two messages to a daemon of another data centre.
 	 * @param peers number of other daemons in all data centres
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -35,8 +36,10 @@
 	 * @param loop the event loop that runs the socket and the callback
 	 * @param address local address of the socket
 	 * @param onMessage receives each message with the address of its sender
+	 * @param onRelay receives the registrations that other daemons pass on
 	 */
-	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> onMessage) {
+	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> onMessage,
+			Consumer<RegistrationRelay> onRelay) {
 		this.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
 			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
@@ -45,7 +48,9 @@
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
 					byte[] bytes = new byte[packet.content().readableBytes()];
 					packet.content().readBytes(bytes);
-					PeerMessage.decode(bytes).ifPresent((message) -> onMessage.accept(message, packet.sender()));
+					PeerMessage.decode(bytes)
+						.ifPresentOrElse((message) -> onMessage.accept(message, packet.sender()),
+								() -> RegistrationRelay.decode(bytes).ifPresent(onRelay));
 				}
 
 				@Override
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.layers.LayerLoads.Load;
@@ -49,23 +48,13 @@
 	 * @param message the message
 	 * @param from address from which it was sent
 	 * @param nowNanos the current elapsed time in ns
-	 * @return the peer's confirmation of the configuration; empty if the message has none
-	 * or it cannot be dated by this daemon's clock
 	 */
-	public Optional<Confirmation> onMessage(PeerMessage message, InetSocketAddress from, long nowNanos) {
+	public void onMessage(PeerMessage message, InetSocketAddress from, long nowNanos) {
 		Peer peer = this.peers.computeIfAbsent(message.sender(), (key) -> new Peer());
 		peer.address = from;
 		peer.hasSentMessage = true;
 		peer.lastMessageAtNanos = nowNanos;
 		peer.lastMessage = message;
-		// The peer measured the age after it had received this daemon's message sent at
-		// echoNanos. Subtracting the age from echoNanos therefore never gives too late a
-		// time, however long the datagram was in transit or waited to be read.
-		if (message.echoNanos() > 0 && message.configurationAgeNanos() >= 0 && message.echoNanos() <= nowNanos) {
-			return Optional.of(new Confirmation(message.configurationOffset(),
-					message.echoNanos() - message.configurationAgeNanos()));
-		}
-		return Optional.empty();
 	}
 
 	/**
@@ -86,19 +75,13 @@
 	 * @return the loads by endpoint id or link between two data centres; may be empty
 	 */
 	public PeerLoads totalLoads(long nowNanos) {
-		long localValidityMs = PeerSchedule.loadValidityMs(PeerSchedule.localIntervalMs(countLocalPeers()));
-		long remoteValidityMs = PeerSchedule.loadValidityMs(PeerSchedule.remoteIntervalMs(this.peers.size()));
 		Map<String, Load> sum = new HashMap<>();
 		int daemonCount = 0;
 		long oldestAgeNanos = 0;
-		for (Peer peer : this.peers.values()) {
-			long ageNanos = nowNanos - peer.lastMessageAtNanos;
-			long validityMs = (isLocal(peer)) ? localValidityMs : remoteValidityMs;
-			if (peer.hasSentMessage && ageNanos < TimeUnit.MILLISECONDS.toNanos(validityMs)) {
-				peer.lastMessage.loads().forEach((id, load) -> sum.merge(id, load, Load::plus));
-				daemonCount++;
-				oldestAgeNanos = Math.max(oldestAgeNanos, ageNanos);
-			}
+		for (Peer peer : liveEntries(nowNanos)) {
+			peer.lastMessage.loads().forEach((id, load) -> sum.merge(id, load, Load::plus));
+			daemonCount++;
+			oldestAgeNanos = Math.max(oldestAgeNanos, nowNanos - peer.lastMessageAtNanos);
 		}
 		return new PeerLoads(sum, daemonCount, oldestAgeNanos);
 	}
@@ -110,17 +93,39 @@
 	 */
 	public Map<String, String> livePeers(long nowNanos) {
 		Map<String, String> live = new HashMap<>();
-		this.peers.forEach((name, peer) -> {
-			if (isLive(peer, nowNanos)) {
-				live.put(name, peer.lastMessage.dataCentre());
+		liveEntries(nowNanos).forEach((peer) -> live.put(peer.lastMessage.sender(), peer.lastMessage.dataCentre()));
+		return live;
+	}
+
+	/**
+	 * Returns the daemons of this data centre that sent a message recently.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return by the name of each daemon, without this one, whether it reaches the store
+	 */
+	Map<String, Boolean> liveLocalPeers(long nowNanos) {
+		Map<String, Boolean> live = new HashMap<>();
+		for (Peer peer : liveEntries(nowNanos)) {
+			if (isLocal(peer)) {
+				live.put(peer.lastMessage.sender(), peer.lastMessage.storeReachable());
 			}
-		});
+		}
 		return live;
 	}
 
-	private boolean isLive(Peer peer, long nowNanos) {
-		return peer.hasSentMessage && nowNanos - peer.lastMessageAtNanos < TimeUnit.MILLISECONDS
-			.toNanos(PeerSchedule.loadValidityMs(intervalMs(peer.lastMessage)));
+	// Returns the peers whose last message still counts.
+	private List<Peer> liveEntries(long nowNanos) {
+		long localNanos = TimeUnit.MILLISECONDS
+			.toNanos(PeerSchedule.loadValidityMs(PeerSchedule.localIntervalMs(countLocalPeers())));
+		long remoteNanos = TimeUnit.MILLISECONDS
+			.toNanos(PeerSchedule.loadValidityMs(PeerSchedule.remoteIntervalMs(this.peers.size())));
+		List<Peer> live = new ArrayList<>();
+		for (Peer peer : this.peers.values()) {
+			if (peer.hasSentMessage
+					&& nowNanos - peer.lastMessageAtNanos < ((isLocal(peer)) ? localNanos : remoteNanos)) {
+				live.add(peer);
+			}
+		}
+		return live;
 	}
 
 	private boolean isLocal(Peer peer) {
@@ -192,14 +197,4 @@
 	public record Target(String name, InetSocketAddress address, String dataCentre, long echoNanos) {
 	}
 
-	/**
-	 * A peer's statement that an offset was the end of the configuration topic.
-	 *
-	 * @param offset the end offset that the peer has seen
-	 * @param confirmedAtNanos elapsed time of this daemon that is no later than the
-	 * moment at which the offset was the end, in ns
-	 */
-	public record Confirmation(long offset, long confirmedAtNanos) {
-	}
-
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
@@ -133,4 +134,46 @@
 		assertThat(this.feed.ageNanos(100)).isEqualTo(30);
 	}
 
+	@Test
+	void relayedRecordsContinueWhatWasReadAndConfirmNothing() {
+		readSnapshot(10);
+		KeyedFeed.Update update = this.feed.onRelayedRecords(0,
+				List.of(keyedRecord("a", 9), keyedRecord("b", 10), keyedRecord("c", 11)));
+		assertThat(update.records()).extracting(KeyedRecord::key).containsExactly("b", "c");
+		assertThat(this.feed.nextOffset()).isEqualTo(12);
+		assertThat(this.feed.ageNanos(100)).isEqualTo(Long.MAX_VALUE);
+	}
+
+	@Test
+	void relayedRecordsBehindAGapOfAnotherEraOrDuringASnapshotAreNotApplied() {
+		assertThat(this.feed.onRelayedRecords(0, List.of(keyedRecord("a", 0))).records()).isEmpty();
+		readSnapshot(10);
+		assertThat(this.feed.onRelayedRecords(0, List.of(keyedRecord("a", 11))).records()).isEmpty();
+		assertThat(this.feed.onRelayedRecords(1, List.of(keyedRecord("a", 10))).records()).isEmpty();
+		assertThat(this.feed.nextOffset()).isEqualTo(10);
+	}
+
+	@Test
+	void aDaemonIsBehindWhileAnotherKnowsRecordsThatItLacks() {
+		readSnapshot(10);
+		this.feed.onPeerPosition(new TopicPosition(12, -1, 0), OptionalLong.empty(), 50);
+		assertThat(this.feed.isBehindPeers(30, 70)).isFalse();
+		assertThat(this.feed.isBehindPeers(30, 80)).isTrue();
+		this.feed.onReadOutcome(page(12, 12, false, keyedRecord("a", 11)), 80, 90);
+		assertThat(this.feed.isBehindPeers(0, 90)).isFalse();
+		this.feed.onPeerPosition(new TopicPosition(3, -1, 1), OptionalLong.empty(), 100);
+		assertThat(this.feed.isBehindPeers(0, 100)).isTrue();
+	}
+
+	@Test
+	void thePositionNamesTheAgeUnlessTheKnowledgeCountsAsCurrent() {
+		assertThat(this.feed.position(0, 100)).isEqualTo(TopicPosition.UNKNOWN);
+		readSnapshot(10);
+		assertThat(this.feed.position(1_000, 100)).isEqualTo(new TopicPosition(10, -1, 0));
+		this.feed.onReadOutcome(page(10, 10, false), 50, 90);
+		assertThat(this.feed.position(0, 100)).isEqualTo(new TopicPosition(10, 50, 0));
+		assertThat(this.feed.position(50, 100)).isEqualTo(new TopicPosition(10, 0, 0));
+		assertThat(this.feed.position(49, 100)).isEqualTo(new TopicPosition(10, 50, 0));
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.Samples;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.peer.PeerMessage;
@@ -324,8 +325,9 @@
 			if (includeRemote) {
 				this.nextRemoteRoundMs = now + remoteIntervalMs;
 			}
-			PeerMessage message = new PeerMessage(this.name, this.dataCentre, nowNanos(), 0, 0, -1, new HashMap<>(),
-					Map.of(), List.of(), this.limits.ownStatements(nowNanos()), 0);
+			PeerMessage message = new PeerMessage(this.name, this.dataCentre, nowNanos(), 0, TopicPosition.UNKNOWN,
+					new HashMap<>(), Map.of(), List.of(), this.limits.ownStatements(nowNanos()), TopicPosition.UNKNOWN,
+					true);
 			for (Daemon other : SharedEndpointLimitTests.this.daemons.values()) {
 				if (other != this && (includeRemote || other.dataCentre.equals(this.dataCentre))) {
 					at(now + 1 + SharedEndpointLimitTests.this.random.nextInt(4), () -> other.receive(message));
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
+import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.fleet.EndpointLimits.Statement;
 import org.comfreyslip.entry.layers.LayerLoads.Load;
 import org.comfreyslip.entry.layers.LayerLoads.PeerLoads;
@@ -26,8 +27,8 @@
 	private final PeerTable table = new PeerTable("a");
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
-		return new PeerMessage(sender, "a", 77, echoNanos, 12, ageNanos, loads, Map.of("e2", 4.5), List.of("e1"),
-				Map.of(), 3);
+		return new PeerMessage(sender, "a", 77, echoNanos, new TopicPosition(12, ageNanos, 3), loads, Map.of("e2", 4.5),
+				List.of("e1"), Map.of(), new TopicPosition(40, 8, 3), true);
 	}
 
 	@Test
@@ -39,18 +40,22 @@
 	@Test
 	void aDecodedMessageHasTheLimitsOfEndpointsAndTheirEnds() {
 		PeerMessage message = new PeerMessage(
-				"b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of("e1",
+				"b", "a", 77, 5, new TopicPosition(12, 6, 2), Map.of(), Map.of(), List.of(), Map.of("e1",
 						new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)),
-				2);
+				TopicPosition.UNKNOWN, false);
 		assertThat(PeerMessage.decode(message.encode())).contains(message);
 	}
 
 	@Test
 	void aMessageOfADaemonThatKnowsNeitherLimitsNorErasIsReadWithoutThem() {
-		PeerMessage expected = new PeerMessage("b", "a", 77, 5, 12, 6, Map.of(), Map.of(), List.of(), Map.of(), -1);
+		PeerMessage expected = new PeerMessage("b", "a", 77, 5, new TopicPosition(12, 6, -1), Map.of(), Map.of(),
+				List.of(), Map.of(), TopicPosition.UNKNOWN, false);
 		byte[] encoded = expected.encode();
-		byte[] shorter = Arrays.copyOf(encoded, encoded.length - Short.BYTES - Long.BYTES);
-		assertThat(PeerMessage.decode(shorter)).contains(expected);
+		int positionBytes = 3 * Long.BYTES + 1;
+		byte[] withoutPosition = Arrays.copyOf(encoded, encoded.length - positionBytes);
+		assertThat(PeerMessage.decode(withoutPosition)).contains(expected);
+		byte[] withoutLimits = Arrays.copyOf(withoutPosition, withoutPosition.length - Short.BYTES - Long.BYTES);
+		assertThat(PeerMessage.decode(withoutLimits)).contains(expected);
 	}
 
 	@Test
@@ -74,15 +79,17 @@
 		long sentAtNanos = TimeUnit.SECONDS.toNanos(10);
 		long ageNanos = TimeUnit.SECONDS.toNanos(1);
 		long receivedAtNanos = TimeUnit.SECONDS.toNanos(60);
-		assertThat(this.table.onMessage(message("b", sentAtNanos, ageNanos, Map.of()), ADDRESS, receivedAtNanos))
-			.contains(new PeerTable.Confirmation(12, sentAtNanos - ageNanos));
+		PeerMessage message = message("b", sentAtNanos, ageNanos, Map.of());
+		assertThat(message.confirmedAtNanos(message.configuration(), receivedAtNanos)).hasValue(sentAtNanos - ageNanos);
+		assertThat(message.confirmedAtNanos(message.registrations(), receivedAtNanos)).hasValue(sentAtNanos - 8);
 	}
 
 	@Test
 	void aMessageWithoutAUsableEchoOrAgeConfirmsNothing() {
-		assertThat(this.table.onMessage(message("b", 0, 6, Map.of()), ADDRESS, 100)).isEmpty();
-		assertThat(this.table.onMessage(message("b", 5, -1, Map.of()), ADDRESS, 100)).isEmpty();
-		assertThat(this.table.onMessage(message("b", 500, 6, Map.of()), ADDRESS, 100)).isEmpty();
+		for (PeerMessage message : List.of(message("b", 0, 6, Map.of()), message("b", 5, -1, Map.of()),
+				message("b", 500, 6, Map.of()))) {
+			assertThat(message.confirmedAtNanos(message.configuration(), 100)).isEmpty();
+		}
 	}
 
 	@Test
@@ -96,8 +103,8 @@
 	@Test
 	void theLoadsOfManyPeersCountUntilTheNextMessageOfEachIsDue() {
 		for (int peer = 0; peer < 78; peer++) {
-			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, 12, 0,
-					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), 0);
+			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, TopicPosition.UNKNOWN,
+					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), TopicPosition.UNKNOWN, true);
 			this.table.onMessage(message, ADDRESS, 0);
 		}
 		assertThat(this.table.totalLoads(TimeUnit.MILLISECONDS.toNanos(2_400)).daemonCount()).isEqualTo(78);
