Bound the bytes of endpoints that send without end

What callers saw: an endpoint that sent informational heads, or complete responses to other requests, one after the other held a request to its deadline; one that sent comments in an event stream held the stream, and all its bytes went to the caller; a response to another request with a body without end was read without bound. 200 responses without end at once could take 8 MB each, more than the heap.

Cause: skipped heads and bytes had no limit; a comment counted as progress of a stream; each buffered response had a limit of its own but all together had none; an incomplete event could have 1 MB.

Now at most 8 heads and 1 MB are skipped for a request, 64 KB of comments may stand between two events and count as no progress, an event may have 64 KB, and the limit of a buffered response falls as the common buffer fills (a quarter of what is free of 24 MB, at least 64 KB). The cause is logged as ENDLESS, and the endpoint is avoided as after a broken response. A sound stream with comments stays whole.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
@@ -33,6 +33,15 @@
 	 */
 	private static final double IDLE_TIMEOUT_SHARE = 0.6;
 
+	/**
+	 * Most heads before the response to a request: informational ones, and those of late
+	 * responses to earlier requests.
+	 */
+	private static final int MAX_SKIPPED_HEADS = 8;
+
+	/** Most bytes of late responses to earlier requests that are skipped. */
+	private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
 	private final EndpointPool pool;
 
 	private final String poolKey;
@@ -54,6 +63,12 @@
 	/** Whether the response being received belongs to no current request. */
 	private boolean skippingResponse;
 
+	/** Heads skipped since the request was assigned. */
+	private int skippedHeads;
+
+	/** Bytes of bodies skipped since the request was assigned. */
+	private long skippedBytes;
+
 	/** Whether no response has been completed on this connection yet. */
 	private boolean awaitingFirstResponse = true;
 
@@ -82,6 +97,8 @@
 		this.requestWritten = false;
 		this.headReceived = false;
 		this.responseComplete = false;
+		this.skippedHeads = 0;
+		this.skippedBytes = 0;
 	}
 
 	void writeRequest(FullHttpRequest request) {
@@ -140,7 +157,7 @@
 
 	private void onHead(HttpResponse head) {
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			this.skippingResponse = true;
+			skipResponse();
 			return;
 		}
 		HeaderTranslator.ResponseFields fields = this.pool.headers().readResponse(head);
@@ -149,8 +166,8 @@
 			.orElse(this.awaitingFirstResponse && !fields.signed());
 		if (!matchesRequest) {
 			// A late response to an earlier request; the expected one may still follow.
-			this.skippingResponse = true;
 			this.reusable = false;
+			skipResponse();
 			return;
 		}
 		this.headReceived = true;
@@ -161,10 +178,22 @@
 		this.listener.onResponseHead(head, fields);
 	}
 
+	private void skipResponse() {
+		this.skippingResponse = true;
+		this.skippedHeads++;
+		if (this.skippedHeads > MAX_SKIPPED_HEADS) {
+			failSend(SendFailureCause.ENDLESS);
+		}
+	}
+
 	private void onContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingResponse) {
 			this.skippingResponse = !last;
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				failSend(SendFailureCause.ENDLESS);
+			}
 			return;
 		}
 		if (!this.headReceived) {
@@ -210,6 +239,14 @@
 		failSend((cause instanceof IOException) ? SendFailureCause.CLOSED : SendFailureCause.GARBLED);
 	}
 
+	/**
+	 * Ends the send because the listener cannot use what the endpoint sends.
+	 * @param cause the cause that is reported to the listener
+	 */
+	void failBecauseOf(SendFailureCause cause) {
+		failSend(cause);
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		finishCompletedResponse();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -46,11 +46,6 @@
 	 */
 	private static final long RESUME_INTERVAL_MS = 100;
 
-	/**
-	 * Largest response that is buffered until it is complete, in bytes.
-	 */
-	private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 << 20;
-
 	/**
 	 * Least time until the deadline with which a send is started, in ms: one round trip
 	 * and a short wait.
@@ -311,6 +306,7 @@
 		}
 		this.endpoint = null;
 		this.connection = null;
+		this.router.releaseResponse(this.responseBody.readableBytes());
 		this.responseBody = Unpooled.EMPTY_BUFFER;
 	}
 
@@ -339,9 +335,16 @@
 		}
 		byte[] bytes = new byte[content.readableBytes()];
 		content.readBytes(bytes);
+		long eventsBefore = this.framer.eventCount();
 		byte[] events = this.framer.extractNewEvents(bytes);
-		if (events.length > 0) {
+		if (this.framer.exceedsLimit()) {
+			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
+			return;
+		}
+		if (this.framer.eventCount() > eventsBefore) {
 			onEventsReceived(System.nanoTime());
+		}
+		if (events.length > 0) {
 			startStreamIfNeeded();
 			this.caller.writeStreamContent(events);
 		}
@@ -360,16 +363,14 @@
 	}
 
 	private void bufferContent(ByteBuf content) {
+		if (!this.router.tryReserveResponse(this.responseBody.readableBytes(), content.readableBytes())) {
+			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
+			return;
+		}
 		if (this.responseBody == Unpooled.EMPTY_BUFFER) {
 			this.responseBody = Unpooled.buffer(content.readableBytes());
 		}
-		if (this.responseBody.readableBytes() + content.readableBytes() <= MAX_BUFFERED_RESPONSE_BYTES) {
-			this.responseBody.writeBytes(content);
-		}
-		else {
-			this.connection.abort();
-			onSendFailed(SendFailureCause.GARBLED);
-		}
+		this.responseBody.writeBytes(content);
 	}
 
 	// Sends the response head to the caller unless an earlier send of the stream did so.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
@@ -32,16 +32,12 @@
 	/** Longest wait for a connection, in ms. */
 	private static final int CONNECT_TIMEOUT_MS = 500;
 
-	/**
-	 * Largest response, in bytes: one read of the store returns at most 1 MB, to which
-	 * base64 adds a third.
-	 */
-	private static final int MAX_RESPONSE_BYTES = 4 << 20;
-
 	private final EventLoop loop;
 
 	private final InetSocketAddress address;
 
+	private final int maxResponseBytes;
+
 	private final Bootstrap bootstrap;
 
 	private Channel channel;
@@ -54,10 +50,13 @@
 	 * Creates a client without a connection.
 	 * @param loop the event loop
 	 * @param address the address to which calls are sent
+	 * @param maxResponseBytes largest body of a response, in bytes; a larger one ends the
+	 * call
 	 */
-	public HttpControlClient(EventLoop loop, InetSocketAddress address) {
+	public HttpControlClient(EventLoop loop, InetSocketAddress address, int maxResponseBytes) {
 		this.loop = loop;
 		this.address = address;
+		this.maxResponseBytes = maxResponseBytes;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -91,7 +90,7 @@
 			protected void initChannel(Channel newChannel) {
 				newChannel.pipeline()
 					.addLast(new HttpClientCodec())
-					.addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+					.addLast(new HttpObjectAggregator(HttpControlClient.this.maxResponseBytes))
 					.addLast(new Handler());
 			}
 		}).connect(this.address).addListener((ChannelFuture future) -> {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -73,6 +73,23 @@
 	 */
 	private static final long MAX_BUFFERED_BYTES = 48L << 20;
 
+	/**
+	 * Largest total size of the responses that are buffered until they are complete, in
+	 * bytes, without {@link #MIN_RESPONSE_BYTES} of each.
+	 */
+	private static final long MAX_BUFFERED_RESPONSE_BYTES = 24L << 20;
+
+	/** Largest response that is buffered until it is complete, in bytes. */
+	private static final long MAX_RESPONSE_BYTES = 8L << 20;
+
+	/**
+	 * Size that each response may have however much the others take, in bytes.
+	 */
+	private static final long MIN_RESPONSE_BYTES = 64L << 10;
+
+	/** Largest part of the free buffer space that one response may take. */
+	private static final double RESPONSE_PART_OF_FREE = 0.25;
+
 	/**
 	 * Least time after which a caller may retry when capacity is missing, in ms: a
 	 * fraction of the duration of a stream.
@@ -157,6 +174,9 @@
 	/** Total size of the request bodies that are buffered now. */
 	private long bufferedBytes;
 
+	/** Total size of the responses that are buffered now. */
+	private long bufferedResponseBytes;
+
 	/**
 	 * Creates a router that reads no requests until {@link #acceptRequests()}.
 	 * @param loop the event loop on which everything runs
@@ -377,6 +397,23 @@
 		this.bufferedBytes -= bytes;
 	}
 
+	// Reserves memory for the next bytes of a response; returns false if it may not grow
+	// any more. The limit falls as the buffer fills, so that responses without end leave
+	// room for the others.
+	boolean tryReserveResponse(int size, int nextBytes) {
+		long free = MAX_BUFFERED_RESPONSE_BYTES - this.bufferedResponseBytes;
+		long limit = Math.max(MIN_RESPONSE_BYTES, Math.min(MAX_RESPONSE_BYTES, (long) (RESPONSE_PART_OF_FREE * free)));
+		if (size + (long) nextBytes > limit) {
+			return false;
+		}
+		this.bufferedResponseBytes += nextBytes;
+		return true;
+	}
+
+	void releaseResponse(int bytes) {
+		this.bufferedResponseBytes -= bytes;
+	}
+
 	void logRejection(int status, String reason) {
 		EntryLog.write(EntryEvent.REQUEST_REJECTED, "unread", "status", status, "why", reason);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
@@ -20,6 +20,9 @@
 	 */
 	GARBLED(true, true, null),
 
+	/** The endpoint sent more bytes than any sound one, without end as far as known. */
+	ENDLESS(true, true, FaultKind.DECLINED),
+
 	/** The endpoint sent nothing for too long. */
 	SILENT(true, true, FaultKind.UNREACHABLE),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/stream/EventFramer.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/stream/EventFramer.java
@@ -11,8 +11,17 @@
  */
 public final class EventFramer {
 
-	/** Largest event, in bytes; model engines send far smaller ones. */
-	private static final int MAX_EVENT_BYTES = 1 << 20;
+	/**
+	 * Largest event, in bytes; model engines send far smaller ones. Hundreds of streams
+	 * with such events at once fit the heap of the smallest process.
+	 */
+	private static final int MAX_EVENT_BYTES = 64 << 10;
+
+	/**
+	 * Most bytes of comments between two events; a comment each second for an hour has
+	 * less.
+	 */
+	private static final int MAX_COMMENT_BYTES = 64 << 10;
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
@@ -22,13 +31,17 @@
 
 	private Optional<Long> lastEventId = Optional.empty();
 
+	/** Events that were passed on, without comments. */
+	private long eventCount;
+
+	/** Bytes of comments since the last event. */
+	private long commentBytes;
+
 	/**
 	 * Adds bytes of the stream and returns the events that they complete.
 	 * @param bytes the next bytes; may end inside an event
-	 * @return the bytes of all complete events that were not passed on before, unchanged;
-	 * may be empty
-	 * @throws IllegalStateException if these bytes and those of the incomplete event held
-	 * together exceed {@link #MAX_EVENT_BYTES}
+	 * @return the bytes of all complete events that were not passed on before, unchanged,
+	 * and of the comments between them; may be empty
 	 */
 	public byte[] extractNewEvents(byte[] bytes) {
 		append(bytes);
@@ -37,6 +50,13 @@
 		int start = 0;
 		int end = findEventEnd(start);
 		while (end > 0) {
+			if (isComment(start, end)) {
+				this.commentBytes += end - start;
+			}
+			else {
+				this.commentBytes = 0;
+				this.eventCount++;
+			}
 			if (isNew(start, end)) {
 				System.arraycopy(this.pending, start, newEvents, newLength, end - start);
 				newLength += end - start;
@@ -50,9 +70,6 @@
 	}
 
 	private void append(byte[] bytes) {
-		if (this.pendingLength + bytes.length > MAX_EVENT_BYTES) {
-			throw new IllegalStateException("an event of more than " + MAX_EVENT_BYTES + " bytes; check the endpoint");
-		}
 		if (this.pendingLength + bytes.length > this.pending.length) {
 			this.pending = Arrays.copyOf(this.pending,
 					Math.max(2 * this.pending.length, this.pendingLength + bytes.length));
@@ -78,6 +95,19 @@
 		return -1;
 	}
 
+	// A block of comments has no field, so that each of its lines begins with a colon.
+	private boolean isComment(int start, int end) {
+		boolean lineStart = true;
+		for (int index = start; index < end; index++) {
+			byte next = this.pending[index];
+			if (lineStart && next != ':' && next != '\n' && next != '\r') {
+				return false;
+			}
+			lineStart = next == '\n';
+		}
+		return true;
+	}
+
 	// An event without an id is always new.
 	private boolean isNew(int start, int end) {
 		Optional<Long> id = findEventId(start, end);
@@ -128,6 +158,25 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns how many events the stream has had. Comments do not count, since an engine
+	 * that makes no progress may still send them.
+	 * @return the number of complete events, repeated ones included
+	 */
+	public long eventCount() {
+		return this.eventCount;
+	}
+
+	/**
+	 * Tells whether the bytes so far are more than any sound endpoint sends without
+	 * completing an event.
+	 * @return whether an incomplete event, or the comments since the last event, exceed
+	 * their limit
+	 */
+	public boolean exceedsLimit() {
+		return this.pendingLength > MAX_EVENT_BYTES || this.commentBytes > MAX_COMMENT_BYTES;
+	}
+
 	/**
 	 * Tells whether the bytes so far end inside an event.
 	 * @return whether bytes of an incomplete event are held
@@ -142,6 +191,7 @@
 	 */
 	public void dropPartialEvent() {
 		this.pendingLength = 0;
+		this.commentBytes = 0;
 	}
 
 }
