Send an attempt again only on another connection

What callers saw: nothing at once, but a stream could run more than once, and the refusal of an earlier send decided about a later one.

Cause: responses are told apart by the identity of the attempt. A stream that its first engine refused because of a later one is sent to the same engine over another path, with the same identity and over the kept connection. A copy of the first refusal that the engine repeats late was taken for the response to the second send, which went on running while a third was sent.

Now a connection is not used again for the attempt that it carried last.

The copy of a response to another attempt was told apart already (aLateResponseToAnotherRequestIsSkipped).

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
@@ -269,6 +269,12 @@
 		}
 	}
 
+	// Tells whether the last request was of an attempt. A late copy of its response could
+	// not be told from the response to another send of that attempt.
+	boolean hasCarried(String otherAttemptId) {
+		return this.attemptId.equals(otherAttemptId);
+	}
+
 	boolean isUsable(long nowNanos) {
 		return this.channel.isActive() && nowNanos - this.idleSinceNanos < this.idleTimeoutNanos;
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
@@ -82,7 +82,7 @@
 	EndpointConnection send(Endpoint endpoint, FullHttpRequest request, String attemptId, boolean nonIdempotent,
 			ResponseListener listener) {
 		String poolKey = endpoint.id() + "/" + endpoint.incarnationStartMs() + "/" + endpoint.address();
-		EndpointConnection idle = takeIdle(poolKey, nonIdempotent);
+		EndpointConnection idle = takeIdle(poolKey, attemptId, nonIdempotent);
 		if (idle != null) {
 			idle.assignRequest(listener, attemptId);
 			idle.writeRequest(request);
@@ -112,12 +112,12 @@
 
 	// Takes the most recently used connection that is usable, and closes the others that
 	// it meets; returns null if there is none.
-	private EndpointConnection takeIdle(String poolKey, boolean nonIdempotent) {
+	private EndpointConnection takeIdle(String poolKey, String attemptId, boolean nonIdempotent) {
 		Deque<EndpointConnection> connections = this.idleConnections.get(poolKey);
 		long now = System.nanoTime();
 		while (connections != null && !connections.isEmpty()) {
 			EndpointConnection connection = connections.pollLast();
-			if (connection.isUsable(now)
+			if (connection.isUsable(now) && !connection.hasCarried(attemptId)
 					&& !(nonIdempotent && connection.hasBeenIdleFor(MAX_NON_IDEMPOTENT_IDLE_NANOS, now))) {
 				return connection;
 			}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
-import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.Samples;
+import org.comfreyslip.entry.config.TopicPosition;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.peer.PeerMessage;
 import org.comfreyslip.entry.peer.PeerSchedule;
