Wait for the first request of a caller that connects while the daemon stops

What callers saw: during a planned stop, a request on a connection that had just been accepted was cut off without a response.

Cause: from 2.5 s after the signal, connections without an open request were closed as idle each 0.2 s, also one whose first request was still on its way; what arrived after that was read and ignored.

Now a connection that has carried no request is kept for 1 s after it was opened, the time in which callers expect a request to be read. A request that crosses the close of a kept connection cannot be told from an idle one; callers repeat it.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -355,7 +355,7 @@
 			return;
 		}
 		this.callerListener.close();
-		this.router.closeIdleCallers();
+		this.router.closeIdleCallers(System.nanoTime());
 		boolean idle = !this.router.hasOpenRequests() && this.router.callerCount() == 0;
 		if (idle || phase == ShutdownPhase.OVER) {
 			EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -48,6 +48,12 @@
 	 */
 	private static final long LINGER_MS = 200;
 
+	/**
+	 * Time after a caller has connected for which a stopping daemon waits for its first
+	 * request, in ms: the time in which callers expect it to be read.
+	 */
+	static final long FIRST_REQUEST_WAIT_MS = 1_000;
+
 	private final Router router;
 
 	private final Deque<IncomingRequest> queuedRequests = new ArrayDeque<>();
@@ -76,6 +82,9 @@
 	/** Whether bytes have arrived that may begin a head, and no complete head since. */
 	private boolean headIncomplete;
 
+	/** Whether no request has arrived on this connection yet. */
+	private boolean unused = true;
+
 	CallerConnection(Router router) {
 		this.router = router;
 	}
@@ -150,6 +159,7 @@
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
 		}
+		this.unused = false;
 		this.receivingRequest = new IncomingRequest(head, System.nanoTime());
 	}
 
@@ -352,6 +362,18 @@
 		}
 	}
 
+	/**
+	 * Closes the connection if no request is open on it and none is likely to be on its
+	 * way: a caller that has just connected sends its first request at once.
+	 * @param nowNanos the current steady time in ns
+	 */
+	void closeIfIdleAtStop(long nowNanos) {
+		long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastReadNanos);
+		if (!this.unused || silenceMs >= FIRST_REQUEST_WAIT_MS) {
+			closeIfIdle();
+		}
+	}
+
 	/** Closes the connection if no request is open on it. */
 	void closeIfIdle() {
 		if (this.exchange == null && this.receivingRequest == null && this.queuedRequests.isEmpty()
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -326,9 +326,13 @@
 		this.stopping = true;
 	}
 
-	/** Closes the connections of callers that have no open request. */
-	public void closeIdleCallers() {
-		new ArrayList<>(this.callers).forEach(CallerConnection::closeIfIdle);
+	/**
+	 * Closes the connections of callers that have no open request, while the daemon
+	 * stops.
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void closeIdleCallers(long nowNanos) {
+		new ArrayList<>(this.callers).forEach((caller) -> caller.closeIfIdleAtStop(nowNanos));
 	}
 
 	/**
