End requests that arrive byte by byte in their time

What was seen: a head, or a body, that came with a byte now and then was never ended, held its memory and kept the connection from being closed.

Cause: both time limits counted from the last byte. Now a head must be complete in the stated time from its first byte (or from the end of the response before it), and a body by the deadline that its head states; both are answered 408, as the request has not run.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -82,6 +82,12 @@
 	/** Whether bytes have arrived that may begin a head, and no complete head since. */
 	private boolean headIncomplete;
 
+	/**
+	 * Steady time in ns from which the incomplete head counts: its first bytes, or the
+	 * end of the response before it.
+	 */
+	private long headStartedNanos;
+
 	/** Whether no request has arrived on this connection yet. */
 	private boolean unused = true;
 
@@ -106,7 +112,10 @@
 	/** Called with each read of raw bytes, before they are decoded. */
 	void onBytesRead() {
 		this.lastReadNanos = System.nanoTime();
-		this.headIncomplete = this.receivingRequest == null;
+		if (this.receivingRequest == null && !this.headIncomplete) {
+			this.headIncomplete = true;
+			this.headStartedNanos = this.lastReadNanos;
+		}
 	}
 
 	@Override
@@ -160,7 +169,8 @@
 					Unpooled.EMPTY_BUFFER));
 		}
 		this.unused = false;
-		this.receivingRequest = new IncomingRequest(head, System.nanoTime());
+		this.receivingRequest = new IncomingRequest(head, this.router.headers().readRequest(head).deadlineMs(),
+				System.nanoTime());
 	}
 
 	private void onContent(HttpContent content) {
@@ -298,6 +308,7 @@
 	private void onResponseFinished() {
 		this.exchange = null;
 		this.lastReadNanos = System.nanoTime();
+		this.headStartedNanos = this.lastReadNanos;
 		startNextRequest();
 	}
 
@@ -351,10 +362,12 @@
 		}
 		RequestLimits limits = this.router.limits();
 		long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastReadNanos);
-		if (this.headIncomplete && silenceMs >= limits.headerTimeoutMs()) {
+		if (this.headIncomplete
+				&& TimeUnit.NANOSECONDS.toMillis(nowNanos - this.headStartedNanos) >= limits.headerTimeoutMs()) {
 			rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request head did not arrive in time");
 		}
-		else if (this.receivingRequest != null && silenceMs >= limits.idleTimeoutMs()) {
+		else if (this.receivingRequest != null
+				&& (silenceMs >= limits.idleTimeoutMs() || this.receivingRequest.isPastDeadline(nowNanos))) {
 			rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request body did not arrive in time");
 		}
 		else if (this.receivingRequest == null && silenceMs >= limits.idleTimeoutMs()) {
@@ -392,12 +405,17 @@
 
 		private final HttpRequest head;
 
+		private final long deadlineMs;
+
 		private final long arrivalNanos;
 
 		private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-		IncomingRequest(HttpRequest head, long arrivalNanos) {
+		// The deadline is the time for which the caller waits, in ms; negative if it does
+		// not state one.
+		IncomingRequest(HttpRequest head, long deadlineMs, long arrivalNanos) {
 			this.head = head;
+			this.deadlineMs = deadlineMs;
 			this.arrivalNanos = arrivalNanos;
 		}
 
@@ -409,6 +427,11 @@
 			return this.arrivalNanos;
 		}
 
+		boolean isPastDeadline(long nowNanos) {
+			return this.deadlineMs >= 0
+					&& TimeUnit.NANOSECONDS.toMillis(nowNanos - this.arrivalNanos) >= this.deadlineMs;
+		}
+
 		ByteBuf body() {
 			return this.body;
 		}
