Derive the reads of the configuration from the age up to which keys count

The waits and the age from which a follower reads were fixed for a bound of 5 s (2 s, 3.2 s). They are 0.4 and 0.64 of the stated bound now, the same at 5 s.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -51,11 +51,25 @@
 	private static final long HOUSEKEEPING_INTERVAL_MS = 200;
 
 	/**
-	 * Intervals at which the configuration is read. Each read confirms its age, well
-	 * within the bound up to which API keys are accepted, also for daemons that learn of
-	 * it through the next message of the reader.
+	 * Longest wait of a read of the configuration at the store, in ms. Each read confirms
+	 * the age of the configuration.
 	 */
-	private static final ReadIntervals CONFIGURATION_INTERVALS = new ReadIntervals(2_000, 2_000, 0, 3_200, true);
+	private static final long MAX_CONFIGURATION_WAIT_MS = 2_000;
+
+	/**
+	 * Longest wait of a read of the configuration, as a share of the age up to which API
+	 * keys are accepted: two reads and their responses fit in it.
+	 */
+	private static final double CONFIGURATION_WAIT_SHARE = 0.4;
+
+	/**
+	 * Age of the configuration from which a follower reads it itself, as a share of the
+	 * age up to which API keys are accepted; leaves time for a read that fails.
+	 */
+	private static final double FOLLOWER_AGE_SHARE = 0.64;
+
+	/** Age up to which keys are accepted where the settings state none, in ms. */
+	private static final long DEFAULT_KEY_FRESHNESS_MS = 5_000;
 
 	/** Time in which registrations that the reader knows arrive from it, in ms. */
 	private static final long RELAY_GRACE_MS = 150;
@@ -120,13 +134,20 @@
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
-				this.clock::nanos, this::onConfigurations, CONFIGURATION_INTERVALS, this.peers::storeReading, 0);
+				this.clock::nanos, this::onConfigurations, configurationIntervals(settings), this.peers::storeReading,
+				0);
 		this.configurationReader.setOnStoreWentBack(this::onStoreWentBack);
 		this.endpointReader = new FeedReader(loop, "endpoints", ports.endpoints(), this.endpointFeed, this.clock::nanos,
 				this::onEndpoints, PeerExchange.REGISTRATION_INTERVALS, this.peers::storeReading, RELAY_GRACE_MS);
 		this.peers.setOnRelay(this::onRelay);
 	}
 
+	private static ReadIntervals configurationIntervals(EntrySettings settings) {
+		long freshnessMs = settings.keyFreshnessMs().orElse(DEFAULT_KEY_FRESHNESS_MS);
+		long waitMs = Math.min(MAX_CONFIGURATION_WAIT_MS, Math.round(CONFIGURATION_WAIT_SHARE * freshnessMs));
+		return new ReadIntervals(waitMs, waitMs, 0, Math.round(FOLLOWER_AGE_SHARE * freshnessMs), true);
+	}
+
 	/** Starts to listen and to read the store. Must be called on the event loop. */
 	public void start() {
 		ChannelFuture callers = Listeners.bindCallers(this.loop, this.settings.callerAddress(), this.router);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -124,9 +124,8 @@
 		}
 	}
 
-	// Tells whether a follower has to read because it was not told in time. After a
-	// failed
-	// read it waits, unless another daemon has read more since.
+	// Tells whether a follower has to read because it was not told in time. It waits
+	// after a failed read, unless another daemon has read more since.
 	private boolean isOverdue(long nowNanos) {
 		if (this.feed.isBehindPeers(this.relayGraceNanos, nowNanos)
 				&& this.feed.behindSinceNanos() - this.followerFailedAtNanos > 0) {
