Compare only the two cheapest predecessors of a data centre in the path search

What callers saw: while no path existed, each refused stream kept the event loop of its daemon busy for milliseconds, on a third of a core, just when most callers asked; streams in progress paused.

Cause: at each boundary each candidate compared all candidates as the stage before it, although those of one data centre hand off at the same cost; the search over all data centres, which runs when none has a path, also built a text for each pair. Now the two cheapest of each data centre are found once a boundary, costs between data centres once a search, and ranges are compared as numbers.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -36,7 +37,7 @@
 	 * Cost of passing activations to the next stage within a data centre, in ms: the
 	 * network delay and the wait for the next forward pass.
 	 */
-	private static final double HANDOFF_MS = 0.25;
+	static final double HANDOFF_MS = 0.25;
 
 	/**
 	 * Additional delay of passing activations to another data centre, without the
@@ -171,14 +172,35 @@
 		/** Cheapest arrival by index of the boundary and of the candidate. */
 		private final Arrival[][] best;
 
+		/** First layer of the range of each candidate. */
+		private final int[] heldFrom;
+
+		/** End of the range of each candidate, exclusive; 0 if it holds none. */
+		private final int[] heldTo;
+
 		/** Expected time per layer and token by candidate, in ms. */
 		private final double[] layerMs;
 
 		/** Number of layers whose KV cache for this stream still fits, by candidate. */
 		private final int[] availableLayers;
 
-		/** Cost of a handoff between data centres by link key, in ms. */
-		private final Map<String, Double> linkMs = new HashMap<>();
+		/** The data centres of the candidates, by index of the group. */
+		private final List<String> dataCentres = new ArrayList<>();
+
+		/** Index of the data centre by candidate. */
+		private final int[] groups;
+
+		/** Boundary to which the two following fields belong; -1 at the start. */
+		private int rankedBoundary = -1;
+
+		/** Candidate with the cheapest arrival by data centre; -1 if there is none. */
+		private final int[] cheapestByGroup;
+
+		/** Candidate with the second cheapest arrival by data centre; -1 if none. */
+		private final int[] secondByGroup;
+
+		/** Cost of a handoff between two data centres by their indexes, in ms. */
+		private final double[][] handoffMs;
 
 		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst,
 				long nowNanos) {
@@ -190,9 +212,23 @@
 			this.best = new Arrival[this.boundaries.length][candidates.size()];
 			this.layerMs = new double[candidates.size()];
 			this.availableLayers = new int[candidates.size()];
+			this.heldFrom = new int[candidates.size()];
+			this.heldTo = new int[candidates.size()];
+			this.groups = new int[candidates.size()];
 			for (int index = 0; index < candidates.size(); index++) {
 				estimateEngine(index, nowNanos);
+				this.groups[index] = groupOf(candidates.get(index).dataCentre());
 			}
+			this.cheapestByGroup = new int[this.dataCentres.size()];
+			this.secondByGroup = new int[this.dataCentres.size()];
+			this.handoffMs = estimateHandoffs();
+		}
+
+		private int groupOf(String name) {
+			if (!this.dataCentres.contains(name)) {
+				this.dataCentres.add(name);
+			}
+			return this.dataCentres.indexOf(name);
 		}
 
 		private int[] boundaries() {
@@ -214,7 +250,9 @@
 			if (kind == null || endpoint.layers().isEmpty()) {
 				return;
 			}
-			int held = endpoint.layers().get().size();
+			this.heldFrom[index] = endpoint.layers().get().from();
+			this.heldTo[index] = endpoint.layers().get().to();
+			int held = this.heldTo[index] - this.heldFrom[index];
 			LayerLoads.Load load = PathFinder.this.loads.totalLoad(endpoint.id());
 			double availableTokenLayers = available(endpoint,
 					MAX_KV_CACHE_SHARE * spec.kvCapacityTokenLayers(kind, held), LayerLoads.Load::tokenLayers,
@@ -257,9 +295,8 @@
 		// Lets a candidate run a stage from a boundary to each later boundary that its
 		// range and memory allow.
 		private void extendFrom(int boundary, int index) {
-			LayerRange held = this.candidates.get(index).layers().orElse(null);
 			int from = this.boundaries[boundary];
-			if (held == null || !held.contains(from) || this.availableLayers[index] == 0) {
+			if (from < this.heldFrom[index] || from >= this.heldTo[index] || this.availableLayers[index] == 0) {
 				return;
 			}
 			Arrival arrival = cheapestArrivalAt(boundary, index);
@@ -268,7 +305,7 @@
 			}
 			for (int next = boundary + 1; next < this.boundaries.length; next++) {
 				int layers = this.boundaries[next] - from;
-				if (this.boundaries[next] > held.to() || layers > this.availableLayers[index]) {
+				if (this.boundaries[next] > this.heldTo[index] || layers > this.availableLayers[index]) {
 					return;
 				}
 				double costMs = arrival.costMs() + layers * this.layerMs[index];
@@ -293,13 +330,13 @@
 				return new Arrival(entryMs, -1, -1, 1);
 			}
 			Arrival cheapest = null;
-			for (int previous = 0; previous < this.candidates.size(); previous++) {
-				Arrival predecessor = this.best[boundary][previous];
-				if (predecessor == null || previous == index) {
+			for (int group = 0; group < this.dataCentres.size(); group++) {
+				int previous = cheapestPredecessor(boundary, group, index);
+				if (previous < 0) {
 					continue;
 				}
-				double costMs = predecessor.costMs()
-						+ handoffMs(this.candidates.get(previous).dataCentre(), endpoint.dataCentre());
+				Arrival predecessor = this.best[boundary][previous];
+				double costMs = predecessor.costMs() + this.handoffMs[group][this.groups[index]];
 				if (costMs == Double.POSITIVE_INFINITY) {
 					continue;
 				}
@@ -310,11 +347,54 @@
 			return cheapest;
 		}
 
-		private double handoffMs(String from, String to) {
-			if (from.equals(to)) {
-				return HANDOFF_MS;
+		// Returns the candidate of a data centre that reaches a boundary at the least
+		// cost
+		// and is not the one that runs the next stage; -1 if there is none. All of them
+		// hand off to the next stage at the same cost.
+		private int cheapestPredecessor(int boundary, int group, int next) {
+			if (this.rankedBoundary != boundary) {
+				rankPredecessors(boundary);
+			}
+			int first = this.cheapestByGroup[group];
+			return (first != next) ? first : this.secondByGroup[group];
+		}
+
+		// Finds the two cheapest arrivals of each data centre at a boundary.
+		private void rankPredecessors(int boundary) {
+			this.rankedBoundary = boundary;
+			Arrays.fill(this.cheapestByGroup, -1);
+			Arrays.fill(this.secondByGroup, -1);
+			for (int index = 0; index < this.candidates.size(); index++) {
+				if (this.best[boundary][index] == null) {
+					continue;
+				}
+				int group = this.groups[index];
+				if (isCheaper(boundary, index, this.cheapestByGroup[group])) {
+					this.secondByGroup[group] = this.cheapestByGroup[group];
+					this.cheapestByGroup[group] = index;
+				}
+				else if (isCheaper(boundary, index, this.secondByGroup[group])) {
+					this.secondByGroup[group] = index;
+				}
+			}
+		}
+
+		private boolean isCheaper(int boundary, int index, int other) {
+			return other < 0 || this.best[boundary][index].costMs() < this.best[boundary][other].costMs();
+		}
+
+		private double[][] estimateHandoffs() {
+			int count = this.dataCentres.size();
+			double[][] costs = new double[count][count];
+			for (int from = 0; from < count; from++) {
+				costs[from][from] = HANDOFF_MS;
+				for (int to = 0; to < from; to++) {
+					costs[from][to] = estimateLinkMs(
+							LayerLoads.linkKey(this.dataCentres.get(from), this.dataCentres.get(to)));
+					costs[to][from] = costs[from][to];
+				}
 			}
-			return this.linkMs.computeIfAbsent(LayerLoads.linkKey(from, to), this::estimateLinkMs);
+			return costs;
 		}
 
 		// Returns infinity for a link that cannot take the stream.
