Find a path although the cheapest way would come back to an engine

What callers saw: a stream was refused, or resumed late, with "no endpoint" although an engine with room held each layer; the log named no missing layer.

Cause: where an engine is slow and another holds layers in the middle of its range, the cheapest way leaves the slow engine and comes back to it. The search followed that way and then dropped it, because an engine may run one stage of a path only, without looking for another one.

Now a way on which an engine has run a stage does not reach it again; its earlier stage goes on instead.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -348,15 +348,38 @@
 		}
 
 		// Returns the candidate of a data centre that reaches a boundary at the least
-		// cost
-		// and is not the one that runs the next stage; -1 if there is none. All of them
-		// hand off to the next stage at the same cost.
+		// cost, on a path on which a given candidate may run the next stage; -1 if
+		// neither
+		// of the two cheapest allows it: then that candidate has been reached before, and
+		// its stage there goes on to this boundary. All of a data centre hand off to the
+		// next stage at the same cost.
 		private int cheapestPredecessor(int boundary, int group, int next) {
 			if (this.rankedBoundary != boundary) {
 				rankPredecessors(boundary);
 			}
 			int first = this.cheapestByGroup[group];
-			return (first != next) ? first : this.secondByGroup[group];
+			if (first < 0 || !runsBefore(boundary, first, next)) {
+				return first;
+			}
+			int second = this.secondByGroup[group];
+			return (second < 0 || !runsBefore(boundary, second, next)) ? second : -1;
+		}
+
+		// Tells whether a candidate runs a stage of the path that reaches a boundary at
+		// another one. An engine must not run two stages of a path, also if another
+		// engine is faster in between.
+		private boolean runsBefore(int boundary, int index, int wanted) {
+			int at = boundary;
+			int current = index;
+			while (current >= 0) {
+				if (current == wanted) {
+					return true;
+				}
+				Arrival arrival = this.best[at][current];
+				at = arrival.startBoundary();
+				current = arrival.previousEndpoint();
+			}
+			return false;
 		}
 
 		// Finds the two cheapest arrivals of each data centre at a boundary.
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PathFinderTests.java
@@ -135,6 +135,16 @@
 			.id()).isEqualTo(usual);
 	}
 
+	// The cheapest way would leave the slow engine and come back to it.
+	@Test
+	void aPathIsFoundAlthoughAFasterEngineHoldsLayersInTheMiddleOfASlowOnesRange() {
+		Endpoint slow = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
+		Endpoint inside = Samples.endpoint("y", "a", Samples.FAST, new LayerRange(10, 20));
+		Endpoint rest = Samples.endpoint("z", "a", Samples.FAST, new LayerRange(40, 80));
+		this.slowdowns.recordPeerReport("x", 8, 0);
+		assertRunsEachLayerOnceInOrder(find(List.of(slow, inside, rest), 100).orElseThrow());
+	}
+
 	@Test
 	void pathOverTheSameEnginesWithNewerRegistrationsIsTheSame() {
 		Endpoint old = Samples.endpoint("x", "a", Samples.FAST, new LayerRange(0, 40));
