Forget a stated position beyond the end of a topic after the next read

What could be seen: calls to the store ten times a second from one daemon, for as long as it runs.

Cause: a follower reads while another daemon states a higher offset than its own. A statement that is wrong, or from before the store lost records without a new era, never came true. A read that reaches the end now ends it; the other daemon states a true one again within its interval.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -116,6 +116,8 @@
 		this.nextOffset = page.nextOffset();
 		if (page.nextOffset() >= page.endOffset()) {
 			confirm(sentAtNanos);
+			// Another daemon that stated more was wrong, or will state it again.
+			this.peerPosition = TopicPosition.UNKNOWN;
 		}
 		return new Update(new ArrayList<>(page.records()), Optional.empty());
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/config/KeyedFeedTests.java
@@ -176,4 +176,14 @@
 		assertThat(this.feed.position(49, 100)).isEqualTo(new TopicPosition(10, 50, 0));
 	}
 
+	// Otherwise the daemon would read again and again.
+	@Test
+	void aPositionBeyondTheEndOfTheTopicDoesNotCountAfterTheNextRead() {
+		readSnapshot(10);
+		this.feed.onPeerPosition(new TopicPosition(1_000, -1, 0), OptionalLong.empty(), 50);
+		assertThat(this.feed.isBehindPeers(0, 60)).isTrue();
+		this.feed.onReadOutcome(page(10, 10, false), 60, 70);
+		assertThat(this.feed.isBehindPeers(0, 80)).isFalse();
+	}
+
 }
