Read the announcements again after an announcement that was accepted late

What could be seen: two daemons that did not know each other for up to a minute, and so did not count each other's loads.

Cause: since daemons read the announcements once after their own one, a daemon whose announcement the store rejected at first had read them too early, and one that started in between had read them without it.

PeerExchangeTests.aDaemonWhoseAnnouncementIsAcceptedLate... timed out before. Found on reading the change, before any play showed it.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -185,6 +185,15 @@
 		confirmedAtNanos.ifPresent((atNanos) -> onPeerConfirmation(position.era(), position.offset(), atNanos));
 	}
 
+	/**
+	 * Asks for a read of the topic to its end, as if another daemon had stated a further
+	 * position.
+	 * @param nowNanos the current elapsed time in ns
+	 */
+	public void requireRead(long nowNanos) {
+		onPeerPosition(new TopicPosition(Long.MAX_VALUE, -1, this.era), OptionalLong.empty(), nowNanos);
+	}
+
 	private boolean isBehindPeers() {
 		return this.peerPosition.isBeyond(new TopicPosition(this.nextOffset, -1, this.era));
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -156,14 +156,17 @@
 			if (!done) {
 				this.loop.schedule(this::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS);
 			}
-			startReadingAnnouncements();
+			readAnnouncements(done);
 		});
 	}
 
 	// Of two daemons that start at the same time, the one that announces itself later
-	// finds the other, because each reads only after its own announcement.
-	private void startReadingAnnouncements() {
+	// finds the other, because each reads after its own announcement.
+	private void readAnnouncements(boolean announcedNow) {
 		if (this.readingAnnouncements) {
+			if (announcedNow) {
+				this.announcementsFeed.requireRead(this.elapsedNanos.getAsLong());
+			}
 			return;
 		}
 		this.readingAnnouncements = true;
