--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -88,6 +88,9 @@
 	/** No path over engines can take a send; the request is refused or suspended. */
 	NO_PATH(8306, Level.WARNING),
 
+	/** A send of a request ended without a complete response. */
+	SEND_BROKEN(8307, Level.INFO),
+
 	/** This daemon became the leader for layer placement or ceased to be it. */
 	DUTY(8401, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -101,6 +101,9 @@
 	/** Whether an endpoint may have run the request, so that its outcome is unknown. */
 	private boolean mayHaveRun;
 
+	/** Progress of the current or last send, or null before the first one. */
+	private SendProgress progress;
+
 	/** Steady time in ns at which the current send began. */
 	private long sentAtNanos;
 
@@ -260,6 +263,7 @@
 		this.responseHead = null;
 		this.relayingStream = false;
 		this.sentAtNanos = now;
+		this.progress = new SendProgress(now);
 		this.lastProgressNanos = now;
 		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory()
 			.withValidation(false)
@@ -319,6 +323,7 @@
 	public void onResponseHead(HttpResponse head, HeaderTranslator.ResponseFields fields) {
 		this.responseHead = head;
 		this.responseFields = fields;
+		this.progress.onHead();
 		this.router.onResponseHead(this.endpoint, fields, this.sentAtNanos, System.nanoTime());
 		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded();
 		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
@@ -351,6 +356,7 @@
 	}
 
 	private void onEventsReceived(long now) {
+		this.progress.onAnswer(now);
 		double gapMs = (now - this.lastProgressNanos) / 1e6;
 		this.lastProgressNanos = now;
 		this.probeIntervalMs = Router.PROBE_INTERVAL_MS;
@@ -363,6 +369,7 @@
 	}
 
 	private void bufferContent(ByteBuf content) {
+		this.progress.onAnswer(System.nanoTime());
 		if (!this.router.tryReserveResponse(this.responseBody.readableBytes(), content.readableBytes())) {
 			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
 			return;
@@ -519,6 +526,8 @@
 		}
 		long now = System.nanoTime();
 		String endpointId = this.endpoint.id();
+		this.router.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
+				this.requestFields.sharedPromptParts());
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry.http;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 
@@ -14,6 +15,9 @@
  */
 public interface HeaderTranslator {
 
+	/** Largest number of parts of a prompt that are read. */
+	int MAX_PROMPT_PARTS = 32;
+
 	/**
 	 * Reads the header fields of a caller's request.
 	 * @param head the request head
@@ -58,9 +62,13 @@
 	 * response; 0 if not stated
 	 * @param lastEventId identity of the last event that the caller has of a stream to be
 	 * resumed; empty at the start of a stream
+	 * @param sharedPromptParts identities of the parts of the prompt in their order,
+	 * without the last one, which belongs to the request or its session; at most
+	 * {@link #MAX_PROMPT_PARTS}, empty if not stated
 	 */
 	record RequestFields(String attemptId, long deadlineMs, Optional<String> apiKey, int promptTokens,
-			int maxResponseTokens, int estimatedResponseTokens, Optional<Long> lastEventId) {
+			int maxResponseTokens, int estimatedResponseTokens, Optional<Long> lastEventId,
+			List<String> sharedPromptParts) {
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -120,6 +120,9 @@
 	 */
 	private static final long DEFAULT_GAP_LIMIT_MS = 300;
 
+	/** Largest number of parts of a prompt in a log line. */
+	private static final int MAX_LOGGED_PARTS = 8;
+
 	private EntrySettings settings;
 
 	private final HeaderTranslator headers;
@@ -638,6 +641,13 @@
 				nowNanos);
 	}
 
+	// Logs that a send ended without a complete response.
+	void recordBrokenSend(String requestId, Endpoint endpoint, SendFailureCause cause, String progress,
+			List<String> promptParts) {
+		EntryLog.write(EntryEvent.SEND_BROKEN, requestId, "endpoint", endpoint.id(), "cause", cause, "progress",
+				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList());
+	}
+
 	void recordMove(String requestId, String endpoint, String reason) {
 		this.metrics.increment(EntryMetrics.Count.MOVED);
 		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
