Refuse requests with a prompt part that crashes engines

Cause: a crash was recorded against the endpoint only. No decision connected it with what the requests there have in common, so that each daemon admitted and repeated such requests as any other; a request was sent to up to six engines, since endpoints that ended do not count for the route's limit of attempts. Class of fault: a failure that a request causes is taken for a failure of where it ran.

Ruled out: engines that end by themselves (only engines that had just begun a request of the part end; engines on later stages do not); repeats alone (new requests reach one engine each over 30 s).

Why this works: daemons tell each other at once which of their requests were at an endpoint whose process ended before their answers had begun. A trait is a cause if different requests with it were there in three crashes that follow each other (four if they are far apart) and no request with it was answered since. An answer clears the traits of its request everywhere, so that sound requests with the same caller, parts or endpoints stay admitted; one host, or many lost together, count as one crash; an endpoint that a stream passes later counts for nothing. Traits that cannot be told apart are refused only together. A cause ends after 15 s with a single request on trial, whose crash renews it for longer. A request whose second endpoint ends is not sent to a third, so that five crashes always have three requests.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -130,7 +130,8 @@
 		this.peers = new PeerExchange(loop, settings.name(), settings.dataCentre(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
 				this.configurationFeed, this.endpointFeed, this.router.loads(), this.router.slowdowns(),
-				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget());
+				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(),
+				this.router.crashBlame());
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -91,6 +91,18 @@
 	/** A send of a request ended without a complete response. */
 	SEND_BROKEN(8307, Level.INFO),
 
+	/** An endpoint ended with requests whose answers had not begun. */
+	CRASH_WITNESSED(8501, Level.WARNING),
+
+	/** Requests with these traits crash endpoints and are refused. */
+	CRASH_CAUSE_FOUND(8502, Level.WARNING),
+
+	/** A trait is no cause of crashes, since a request with it was answered. */
+	CRASH_CAUSE_ACQUITTED(8503, Level.INFO),
+
+	/** A request that is refused otherwise is let through on trial. */
+	CRASH_CAUSE_TRIED(8504, Level.INFO),
+
 	/** This daemon became the leader for layer placement or ceased to be it. */
 	DUTY(8401, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -123,7 +123,10 @@
 		REPORTS_FETCHED,
 
 		/** Number of times that the store came back with an older copy of its records. */
-		STORE_WENT_BACK
+		STORE_WENT_BACK,
+
+		/** Requests refused because requests like them crash endpoints. */
+		REFUSED_AS_CRASHING
 
 	}
 
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashBlame.java
@@ -0,0 +1,316 @@
+package org.comfreyslip.entry.blame;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreyslip.entry.EntryEvent;
+import org.comfreyslip.entry.EntryLog;
+
+/**
+ * Decides which requests are refused because requests like them crash the endpoints that
+ * begin to answer them.
+ * <p>
+ * A daemon may see one crash of many, so that each tells the others which of its requests
+ * had been at an endpoint that ended, and which of their traits are sound because a
+ * request with them was answered. Each daemon draws its own conclusion from all reports
+ * and passes it on to those that missed some.
+ */
+public final class CrashBlame {
+
+	/**
+	 * Time after the start in which a daemon takes conclusions from others only, in ns.
+	 */
+	private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+	/**
+	 * Age from which an answer is told again, in ns, if the trait is at risk.
+	 */
+	private static final long ANSWER_RENEWAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** Time after which a trial without a result may be followed by another, in ns. */
+	private static final long TRIAL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+	/** Largest number of requests in one report. */
+	private static final int MAX_REPORTED = 32;
+
+	/** Largest number of traits in one notice of answers. */
+	private static final int MAX_ANSWERED = 64;
+
+	/** Largest number of convictions in one notice. */
+	private static final int MAX_CONVICTIONS = 32;
+
+	private final long startedNanos;
+
+	private final SoundTraits sound = new SoundTraits();
+
+	private final CrashWitness witness = new CrashWitness();
+
+	private final CrashLedger ledger = new CrashLedger(this.sound);
+
+	private final Convictions convictions = new Convictions();
+
+	private final TrialTurn turn;
+
+	/** Steady time in ns of the last trial of this daemon, by traits of the cause. */
+	private final Map<Set<String>, Long> trials = new HashMap<>();
+
+	/** Reports that the other daemons have not been told yet. */
+	private final List<CrashReport> unsentReports = new ArrayList<>();
+
+	/** Sound traits that the other daemons have to be told of. */
+	private final Set<String> unsentAnswers = new HashSet<>();
+
+	/** Steady time in ns of the newest answer that all daemons know, by trait. */
+	private final Map<String, Long> toldAnswers = new HashMap<>();
+
+	/** Convictions that the other daemons have not been told yet. */
+	private final Set<Set<String>> unsentConvictions = new HashSet<>();
+
+	private boolean alone = true;
+
+	/**
+	 * Creates a record without crashes.
+	 * @param daemon this daemon's name
+	 * @param nowNanos the current steady time in ns
+	 */
+	public CrashBlame(String daemon, long nowNanos) {
+		this.startedNanos = nowNanos;
+		this.turn = new TrialTurn(daemon);
+	}
+
+	/**
+	 * Replaces the set of other daemons. Called periodically.
+	 * @param peers the names of the daemons that are alive, without this one
+	 */
+	public void setPeers(Collection<String> peers) {
+		this.alone = peers.isEmpty();
+		this.turn.setPeers(peers);
+	}
+
+	/**
+	 * Decides whether a request may be sent to an endpoint. Must be asked before each
+	 * send; a request on trial is sent once.
+	 * @param traits the request's traits
+	 * @param nowNanos the current steady time in ns
+	 * @return empty if it may be sent, else the time in ms after which requests like it
+	 * may be let through again
+	 */
+	public OptionalLong refusalMs(Set<String> traits, long nowNanos) {
+		Optional<Conviction> found = this.convictions.find(traits, nowNanos);
+		if (found.isEmpty()) {
+			return OptionalLong.empty();
+		}
+		Conviction conviction = found.get();
+		if (!conviction.isOnTrial(nowNanos)) {
+			return OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(conviction.remainingNanos(nowNanos)) + 1);
+		}
+		Long lastTrial = this.trials.get(conviction.traits());
+		boolean tried = lastTrial != null && nowNanos - lastTrial < TRIAL_TIMEOUT_NANOS;
+		if (tried || !this.turn.isOwnTurn(conviction, nowNanos)) {
+			return OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(TrialTurn.TURN_NANOS));
+		}
+		this.trials.put(conviction.traits(), nowNanos);
+		EntryLog.write(EntryEvent.CRASH_CAUSE_TRIED, conviction.traits().toString(), "after_ms",
+				TimeUnit.NANOSECONDS.toMillis(conviction.periodNanos()));
+		return OptionalLong.empty();
+	}
+
+	/**
+	 * Records that a send broke off before the answer had begun.
+	 * @param endpoint identity and start of the endpoint's process
+	 * @param suspect the request
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onSendBroken(String endpoint, SuspectRequest suspect, long nowNanos) {
+		if (!suspect.traits().isEmpty()) {
+			this.witness.onSendBroken(endpoint, suspect, nowNanos);
+		}
+	}
+
+	/**
+	 * Records that an endpoint's process has ended without announcing it.
+	 * @param endpoint identity and start of the endpoint's process
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onEndpointEnded(String endpoint, long nowNanos) {
+		this.witness.onEndpointEnded(endpoint, nowNanos);
+	}
+
+	/**
+	 * Records that an endpoint has begun to answer a request and goes on with it.
+	 * @param traits the request's traits
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onAnswered(Set<String> traits, long nowNanos) {
+		for (String trait : traits) {
+			this.sound.record(trait, nowNanos);
+			if (this.convictions.acquit(trait, nowNanos)) {
+				this.unsentAnswers.add(trait);
+			}
+		}
+	}
+
+	/**
+	 * Handles what another daemon tells.
+	 * @param notice the notice, with ages as of its arrival
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onNotice(CrashNotice notice, long nowNanos) {
+		notice.answered().forEach((trait, ageNanos) -> {
+			long atNanos = nowNanos - ageNanos;
+			this.sound.record(trait, atNanos);
+			this.toldAnswers.merge(trait, atNanos, (left, right) -> (left - right > 0) ? left : right);
+			this.convictions.acquit(trait, atNanos);
+		});
+		notice.reports().forEach((report) -> addReport(report, nowNanos));
+		notice.convictions().forEach((cause) -> adopt(cause, nowNanos));
+	}
+
+	private void addReport(CrashReport report, long nowNanos) {
+		this.ledger.add(report, nowNanos);
+		this.convictions.onCrash(report.suspects(), nowNanos - report.ageNanos(), nowNanos);
+	}
+
+	// Traits that this daemon knows to be sound are left out, and the others are told.
+	private void adopt(CrashNotice.KnownCause cause, long nowNanos) {
+		long sinceNanos = nowNanos - cause.ageNanos();
+		Set<String> traits = new HashSet<>(cause.traits());
+		for (String trait : cause.traits()) {
+			if (this.sound.isSoundSince(trait, sinceNanos, nowNanos)) {
+				traits.remove(trait);
+				this.unsentAnswers.add(trait);
+			}
+		}
+		Conviction conviction = new Conviction(Set.copyOf(traits), sinceNanos, cause.periodNanos());
+		if (!traits.isEmpty() && !conviction.isOver(nowNanos)) {
+			this.convictions.add(conviction, "PEER", nowNanos);
+		}
+	}
+
+	/**
+	 * Draws conclusions from the reports and returns what the other daemons have to know.
+	 * Called every few ms.
+	 * @param nowNanos the current steady time in ns
+	 * @return the notice for all other daemons; may be empty
+	 */
+	public CrashNotice update(long nowNanos) {
+		for (CrashReport report : this.witness.takeReports(nowNanos)) {
+			EntryLog.write(EntryEvent.CRASH_WITNESSED, report.endpoint(), "suspects", report.suspects().size());
+			CrashReport limited = new CrashReport(report.endpoint(), report.ageNanos(),
+					likeliest(report.suspects(), nowNanos));
+			addReport(limited, nowNanos);
+			this.unsentReports.add(limited);
+		}
+		this.ledger.removeExpired(nowNanos);
+		this.convictions.removeExpired(nowNanos);
+		this.trials.values().removeIf((atNanos) -> nowNanos - atNanos > Conviction.TRIAL_NANOS);
+		this.toldAnswers.values().removeIf((atNanos) -> nowNanos - atNanos > SoundTraits.MEMORY_NANOS);
+		if (this.ledger.takeChanged(nowNanos)) {
+			tellOfTraitsAtRisk(nowNanos);
+			convict(nowNanos);
+		}
+		return takeNotice(nowNanos);
+	}
+
+	private void convict(long nowNanos) {
+		if (!this.alone && nowNanos - this.startedNanos <= LEARNING_NANOS) {
+			return;
+		}
+		this.ledger.findCause(this.convictions.causes(), nowNanos).ifPresent((traits) -> {
+			if (this.convictions.add(Conviction.first(traits, nowNanos), "CRASHES", nowNanos)) {
+				this.unsentConvictions.add(traits);
+			}
+		});
+	}
+
+	// Requests whose traits are all known to be sound come last.
+	private List<SuspectRequest> likeliest(List<SuspectRequest> suspects, long nowNanos) {
+		return suspects.stream()
+			.sorted(Comparator.comparing((suspect) -> suspect.traits()
+				.stream()
+				.allMatch((trait) -> this.sound.lastAnswer(trait, nowNanos).isPresent())))
+			.limit(MAX_REPORTED)
+			.toList();
+	}
+
+	private void tellOfTraitsAtRisk(long nowNanos) {
+		for (String trait : this.ledger.traitsAtRisk(this.convictions.causes(), nowNanos)) {
+			OptionalLong answered = this.sound.lastAnswer(trait, nowNanos);
+			Long told = this.toldAnswers.get(trait);
+			if (answered.isPresent() && (told == null || answered.getAsLong() - told > ANSWER_RENEWAL_NANOS)) {
+				this.unsentAnswers.add(trait);
+			}
+		}
+	}
+
+	private CrashNotice takeNotice(long nowNanos) {
+		Map<String, Long> answered = new HashMap<>();
+		for (String trait : this.unsentAnswers) {
+			OptionalLong last = this.sound.lastAnswer(trait, nowNanos);
+			if (last.isPresent() && answered.size() < MAX_ANSWERED) {
+				answered.put(trait, nowNanos - last.getAsLong());
+				this.toldAnswers.put(trait, last.getAsLong());
+			}
+		}
+		for (CrashReport report : this.unsentReports) {
+			for (SuspectRequest suspect : report.suspects()) {
+				for (String trait : suspect.traits()) {
+					OptionalLong last = this.sound.lastAnswer(trait, nowNanos);
+					if (last.isPresent() && answered.size() < MAX_ANSWERED) {
+						answered.put(trait, nowNanos - last.getAsLong());
+						this.toldAnswers.put(trait, last.getAsLong());
+					}
+				}
+			}
+		}
+		List<CrashNotice.KnownCause> causes = this.convictions.all()
+			.stream()
+			.filter((one) -> this.unsentConvictions.contains(one.traits()))
+			.map((one) -> describe(one, nowNanos))
+			.toList();
+		CrashNotice notice = new CrashNotice(List.copyOf(this.unsentReports), answered, causes);
+		this.unsentAnswers.clear();
+		this.unsentReports.clear();
+		this.unsentConvictions.clear();
+		return notice;
+	}
+
+	/**
+	 * Returns the known causes, for daemons that have not heard of them: they have
+	 * started, were cut off or frozen, or a notice was lost.
+	 * @param nowNanos the current steady time in ns
+	 * @return the notice for some other daemons; may be empty
+	 */
+	public CrashNotice knownCauses(long nowNanos) {
+		return new CrashNotice(List.of(), Map.of(),
+				this.convictions.all()
+					.stream()
+					.sorted(Comparator.comparingLong((one) -> -one.remainingNanos(nowNanos)))
+					.limit(MAX_CONVICTIONS)
+					.map((one) -> describe(one, nowNanos))
+					.toList());
+	}
+
+	private static CrashNotice.KnownCause describe(Conviction conviction, long nowNanos) {
+		return new CrashNotice.KnownCause(List.copyOf(conviction.traits()), nowNanos - conviction.sinceNanos(),
+				conviction.periodNanos());
+	}
+
+	/**
+	 * Returns the number of known causes.
+	 * @return the number of convictions in force or on trial
+	 */
+	public int convictionCount() {
+		return this.convictions.all().size();
+	}
+
+}
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
@@ -0,0 +1,305 @@
+package org.comfreyslip.entry.blame;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The recent crashes of endpoints as all daemons reported them, and what the requests
+ * that may have caused them have in common.
+ * <p>
+ * A trait is a cause if different requests with it were at endpoints that crashed at
+ * different times, at least at half of those that crashed meanwhile, and no request with
+ * it was answered since. The crashes that a known cause explains do not count against
+ * other traits, so that requests which were at the same endpoints as the bad ones are not
+ * blamed.
+ */
+final class CrashLedger {
+
+	/**
+	 * Number of crashes with different requests that show a cause if they follow each
+	 * other within {@link #DENSE_NANOS}.
+	 */
+	private static final int DENSE_CRASHES = 3;
+
+	/**
+	 * Number of crashes with different requests that show a cause however far they are
+	 * apart. Hosts that fail now and then hit the requests with a rare trait by chance.
+	 */
+	private static final int SPARSE_CRASHES = 4;
+
+	/**
+	 * Longest time between the first and the last of {@link #DENSE_CRASHES}, in ns;
+	 * longer than an engine needs to start again.
+	 */
+	private static final long DENSE_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+	/** Largest number of crashes; the oldest are forgotten first. */
+	private static final int MAX_CRASHES = 24;
+
+	/** Largest number of requests of one crash. */
+	private static final int MAX_SUSPECTS = 256;
+
+	/** Time for which a crash counts, in ns. */
+	private static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	/**
+	 * Time after the first report of a crash in which the reports of other daemons
+	 * arrive, in ns.
+	 */
+	private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+	/**
+	 * Longest time between crashes that count as one, in ns: hosts that are lost
+	 * together, for example with their rack.
+	 */
+	private static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+	/**
+	 * Least time from the first crash to the last one, in ns, that shows that a trait is
+	 * a cause although requests with it were answered shortly before.
+	 */
+	private static final long LASTING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	private final SoundTraits sound;
+
+	/** Whether a report has arrived since the conclusions were drawn. */
+	private boolean changed;
+
+	/** Steady time in ns of the last report. */
+	private long lastReportNanos;
+
+	/** Crashes by endpoint, in the order of their first reports. */
+	private final Map<String, Crash> crashes = new LinkedHashMap<>();
+
+	/**
+	 * Creates a ledger without crashes.
+	 * @param sound when requests with a trait were last answered
+	 */
+	CrashLedger(SoundTraits sound) {
+		this.sound = sound;
+	}
+
+	/**
+	 * Adds what a daemon reports of a crash.
+	 * @param report the report, with its age now
+	 * @param nowNanos the current steady time in ns
+	 */
+	void add(CrashReport report, long nowNanos) {
+		this.changed = true;
+		this.lastReportNanos = nowNanos;
+		Crash crash = this.crashes.get(report.endpoint());
+		if (crash == null) {
+			if (this.crashes.size() >= MAX_CRASHES) {
+				this.crashes.remove(this.crashes.keySet().iterator().next());
+			}
+			crash = new Crash(nowNanos - report.ageNanos(), nowNanos);
+			this.crashes.put(report.endpoint(), crash);
+		}
+		for (SuspectRequest suspect : report.suspects()) {
+			if (crash.suspects.size() < MAX_SUSPECTS) {
+				crash.suspects.putIfAbsent(suspect.id(), suspect.traits());
+			}
+		}
+	}
+
+	/**
+	 * Forgets crashes that are too old to count.
+	 * @param nowNanos the current steady time in ns
+	 */
+	void removeExpired(long nowNanos) {
+		this.crashes.values().removeIf((crash) -> nowNanos - crash.atNanos > MEMORY_NANOS);
+	}
+
+	/**
+	 * Tells whether the crashes may show more than they did before. Only a report makes
+	 * that so, until it has settled.
+	 * @param nowNanos the current steady time in ns
+	 * @return whether conclusions should be drawn now
+	 */
+	boolean takeChanged(long nowNanos) {
+		boolean due = this.changed;
+		this.changed = due && nowNanos - this.lastReportNanos < SETTLING_NANOS;
+		return due;
+	}
+
+	/**
+	 * Returns the traits that one more crash or two could show to be causes.
+	 * @param convicted the traits of the known causes
+	 * @param nowNanos the current steady time in ns
+	 * @return the traits of suspects in at least two crashes that count; may be empty
+	 */
+	Set<String> traitsAtRisk(Collection<Set<String>> convicted, long nowNanos) {
+		Set<String> atRisk = new HashSet<>();
+		collect(convicted, nowNanos).forEach((trait, found) -> {
+			if (found.size() >= DENSE_CRASHES - 1) {
+				atRisk.add(trait);
+			}
+		});
+		return atRisk;
+	}
+
+	/**
+	 * Returns what the requests that crash endpoints have in common.
+	 * @param convicted the traits of the known causes
+	 * @param nowNanos the current steady time in ns
+	 * @return the traits which a request must have all to be refused; empty if the
+	 * crashes show no further cause
+	 */
+	Optional<Set<String>> findCause(Collection<Set<String>> convicted, long nowNanos) {
+		Candidate best = null;
+		List<Crash> unexplained = settled(nowNanos).stream()
+			.filter((crash) -> convicted.stream().noneMatch(crash::isExplainedBy))
+			.toList();
+		for (Map.Entry<String, List<Incident>> entry : collect(convicted, nowNanos).entrySet()) {
+			if (entry.getValue().size() < DENSE_CRASHES) {
+				continue;
+			}
+			Candidate candidate = assess(entry.getKey(), entry.getValue(), unexplained, nowNanos);
+			boolean known = convicted.stream().anyMatch((traits) -> candidate.common().containsAll(traits));
+			if (candidate.convincing() && !known && (best == null || Candidate.ORDER.compare(candidate, best) > 0)) {
+				best = candidate;
+			}
+		}
+		return Optional.ofNullable(best).map(Candidate::common);
+	}
+
+	// Returns by trait the crashes that count against it, in order of their times, with
+	// the requests that have it.
+	private Map<String, List<Incident>> collect(Collection<Set<String>> convicted, long nowNanos) {
+		Map<String, List<Incident>> byTrait = new HashMap<>();
+		for (Crash crash : settled(nowNanos)) {
+			Optional<Set<String>> explanation = convicted.stream().filter(crash::isExplainedBy).findFirst();
+			Map<String, Incident> ofCrash = new HashMap<>();
+			crash.suspects.forEach((id, traits) -> {
+				if (explanation.isPresent() && !traits.containsAll(explanation.get())) {
+					return;
+				}
+				Set<String> counted = explanation.orElse(traits);
+				for (String trait : counted) {
+					if (!this.sound.isSoundSince(trait, crash.atNanos, nowNanos)) {
+						ofCrash.computeIfAbsent(trait, (key) -> new Incident(crash.atNanos, new HashMap<>()))
+							.requests()
+							.put(id, counted);
+					}
+				}
+			});
+			ofCrash
+				.forEach((trait, incident) -> byTrait.computeIfAbsent(trait, (key) -> new ArrayList<>()).add(incident));
+		}
+		return byTrait;
+	}
+
+	// Returns the crashes of which all reports should have arrived, in order of their
+	// times.
+	private List<Crash> settled(long nowNanos) {
+		return this.crashes.values()
+			.stream()
+			.filter((crash) -> nowNanos - crash.firstReportNanos >= SETTLING_NANOS)
+			.sorted(Comparator.comparingLong((crash) -> crash.atNanos - nowNanos))
+			.toList();
+	}
+
+	private Candidate assess(String trait, List<Incident> incidents, List<Crash> unexplained, long nowNanos) {
+		long firstNanos = incidents.get(0).atNanos();
+		long lastNanos = incidents.get(incidents.size() - 1).atNanos();
+		OptionalLong answered = this.sound.lastAnswer(trait, nowNanos);
+		Set<String> common = new HashSet<>();
+		boolean isFirst = true;
+		for (Incident incident : incidents) {
+			for (Set<String> traits : incident.requests().values()) {
+				if (isFirst) {
+					common.addAll(traits);
+					isFirst = false;
+				}
+				else {
+					common.retainAll(traits);
+				}
+			}
+		}
+		common.removeIf((other) -> !other.equals(trait) && this.sound.lastAnswer(other, nowNanos).isPresent());
+		int needed = (lastNanos - firstNanos <= DENSE_NANOS) ? DENSE_CRASHES : SPARSE_CRASHES;
+		List<Set<String>> separate = separate(incidents);
+		int others = separate(unexplained.stream()
+			.filter((crash) -> crash.atNanos - firstNanos > 0 && lastNanos - crash.atNanos > 0)
+			.filter((crash) -> crash.suspects.values().stream().noneMatch((traits) -> traits.contains(trait)))
+			.map((crash) -> new Incident(crash.atNanos, crash.suspects))
+			.toList()).size();
+		boolean convincing = CrashMatching.count(separate, needed) >= needed && others <= separate.size()
+				&& (answered.isEmpty() || lastNanos - firstNanos >= LASTING_NANOS);
+		return new Candidate(Set.copyOf(common), convincing, answered.isPresent(), incidents.size());
+	}
+
+	// Returns the requests of each crash, with crashes at the same time as one.
+	private static List<Set<String>> separate(List<Incident> incidents) {
+		List<Set<String>> separate = new ArrayList<>();
+		long previousNanos = 0;
+		for (Incident incident : incidents) {
+			if (separate.isEmpty() || incident.atNanos() - previousNanos > SIMULTANEOUS_NANOS) {
+				separate.add(new HashSet<>());
+			}
+			separate.get(separate.size() - 1).addAll(incident.requests().keySet());
+			previousNanos = incident.atNanos();
+		}
+		return separate;
+	}
+
+	/** A crash with the requests that may have caused it. */
+	private static final class Crash {
+
+		private final long atNanos;
+
+		private final long firstReportNanos;
+
+		/** The traits of each suspect by the identity of its attempt. */
+		private final Map<String, Set<String>> suspects = new HashMap<>();
+
+		Crash(long atNanos, long firstReportNanos) {
+			this.atNanos = atNanos;
+			this.firstReportNanos = firstReportNanos;
+		}
+
+		boolean isExplainedBy(Set<String> cause) {
+			return this.suspects.values().stream().anyMatch((traits) -> traits.containsAll(cause));
+		}
+
+	}
+
+	/**
+	 * A crash that counts against a trait.
+	 *
+	 * @param atNanos steady time in ns at which the endpoint ended
+	 * @param requests the traits that count of each request with the trait
+	 */
+	private record Incident(long atNanos, Map<String, Set<String>> requests) {
+	}
+
+	/**
+	 * A trait that may be a cause.
+	 *
+	 * @param common what all requests with the trait have in common, the trait included
+	 * @param convincing whether the crashes show that it is a cause
+	 * @param answeredBefore whether a request with it was answered before the crashes
+	 * @param crashCount number of crashes that count against it
+	 */
+	private record Candidate(Set<String> common, boolean convincing, boolean answeredBefore, int crashCount) {
+
+		/** The likeliest cause, and of equally likely ones the most specific, is last. */
+		private static final Comparator<Candidate> ORDER = Comparator.comparing(Candidate::answeredBefore)
+			.reversed()
+			.thenComparingInt(Candidate::crashCount)
+			.thenComparingInt((candidate) -> candidate.common().size())
+			.thenComparing((candidate) -> candidate.common().stream().sorted().toList().toString());
+
+	}
+
+}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -18,6 +19,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.comfreyslip.entry.blame.RequestTraits;
+import org.comfreyslip.entry.blame.SuspectRequest;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
@@ -72,6 +75,12 @@
 	/** The admitted request, or null before admission. */
 	private Router.AdmittedRequest admitted;
 
+	/** What other requests that crash endpoints may have in common with this one. */
+	private Set<String> traits = Set.of();
+
+	/** Whether an endpoint has answered for some time, so that this one crashes none. */
+	private boolean proven;
+
 	/** Steady time in ns at which the request times out. */
 	private long deadlineNanos;
 
@@ -172,6 +181,7 @@
 			return;
 		}
 		this.admitted = admission.admitted();
+		this.traits = RequestTraits.of(this.admitted.service(), this.requestFields.sharedPromptParts());
 		long waitMs = this.admitted.route().timeoutMs();
 		if (this.requestFields.deadlineMs() >= 0) {
 			waitMs = Math.min(waitMs, this.requestFields.deadlineMs());
@@ -196,6 +206,11 @@
 			refuseOrSuspend("the key's validity cannot be confirmed now", "stale configuration", Router.STALE_RETRY_MS);
 			return;
 		}
+		OptionalLong crashRefusalMs = this.router.crashRefusalMs(this.traits, now);
+		if (crashRefusalMs.isPresent()) {
+			refuseAsCrashing(crashRefusalMs.getAsLong());
+			return;
+		}
 		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
 		Optional<Endpoint> target = chooseTarget(now);
 		if (target.isEmpty()) {
@@ -357,6 +372,9 @@
 
 	private void onEventsReceived(long now) {
 		this.progress.onAnswer(now);
+		if (!this.proven && this.progress.isProven(now)) {
+			recordProven(now);
+		}
 		double gapMs = (now - this.lastProgressNanos) / 1e6;
 		this.lastProgressNanos = now;
 		this.probeIntervalMs = Router.PROBE_INTERVAL_MS;
@@ -368,6 +386,11 @@
 		}
 	}
 
+	private void recordProven(long now) {
+		this.proven = true;
+		this.router.crashBlame().onAnswered(this.traits, now);
+	}
+
 	private void bufferContent(ByteBuf content) {
 		this.progress.onAnswer(System.nanoTime());
 		if (!this.router.tryReserveResponse(this.responseBody.readableBytes(), content.readableBytes())) {
@@ -434,6 +457,9 @@
 			return;
 		}
 		long now = System.nanoTime();
+		if (this.progress.hasBegun()) {
+			recordProven(now);
+		}
 		this.router.faults().recordResponse(this.endpoint.id(), false, now);
 		path().ifPresent((used) -> used.stages()
 			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
@@ -545,6 +571,15 @@
 		}
 		this.mayHaveRun = true;
 		this.framer.dropPartialEvent();
+		if (cause == SendFailureCause.CLOSED && !this.proven && !this.progress.isProven(now)) {
+			this.router.crashBlame()
+				.onSendBroken(this.endpoint.processId(), new SuspectRequest(id(), this.traits), now);
+			if (hasEndedAnotherEndpoint()) {
+				endSend(-1);
+				failRequest("endpoint " + endpointId + " ended, as did one before");
+				return;
+			}
+		}
 		if (this.admitted.route().mayRunAgain() && recordRunAndTakeRetry()) {
 			dispatchAgain(-1, cause.name());
 			return;
@@ -557,6 +592,13 @@
 		failRequest("endpoint " + endpointId + " broke off: " + cause);
 	}
 
+	// Tells whether an endpoint that may have run the request before the current one has
+	// ended since.
+	private boolean hasEndedAnotherEndpoint() {
+		return this.endpointsThatMayHaveRun.stream()
+			.anyMatch((id) -> !id.equals(this.endpoint.id()) && this.router.hasEndpointFailed(id));
+	}
+
 	// Ends the current send because a stage of its path stopped, but only if another
 	// endpoint or path can take the request: a silent endpoint may still continue its
 	// response.
@@ -599,6 +641,11 @@
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
 	private void tryResume(long now) {
 		this.lastResumeAttemptNanos = now;
+		OptionalLong crashRefusalMs = this.router.crashRefusalMs(this.traits, now);
+		if (crashRefusalMs.isPresent()) {
+			refuseAsCrashing(crashRefusalMs.getAsLong());
+			return;
+		}
 		Optional<Endpoint> target = (this.router.mayStillSend(this.admitted)) ? chooseTarget(now) : Optional.empty();
 		if (target.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
@@ -621,6 +668,17 @@
 		}
 	}
 
+	// Ends a request that would crash the next endpoint, too.
+	private void refuseAsCrashing(long retryAfterMs) {
+		String reason = "requests like it crash endpoints";
+		if (this.streamStarted || this.mayHaveRun) {
+			failRequest(reason);
+			return;
+		}
+		respond(OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE,
+				"requests with a part of this prompt crash the endpoints", retryAfterMs), Outcome.REFUSED, reason);
+	}
+
 	private void failRequest(String reason) {
 		if (this.streamStarted) {
 			breakOffStream(reason);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -20,6 +21,7 @@
 import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.EntrySettings;
+import org.comfreyslip.entry.blame.CrashBlame;
 import org.comfreyslip.entry.config.ElapsedClock;
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.fleet.EndpointDirectory;
@@ -139,6 +141,8 @@
 
 	private final EndpointLimits endpointLimits;
 
+	private final CrashBlame crashBlame;
+
 	private final LayerLoads loads;
 
 	private final EngineSlowdowns slowdowns = new EngineSlowdowns();
@@ -204,6 +208,7 @@
 		this.pool = new EndpointPool(loop, headers);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
+		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, random);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
@@ -243,6 +248,14 @@
 		return this.endpointLimits;
 	}
 
+	/**
+	 * Returns what is known of requests that crash endpoints.
+	 * @return the causes, which broken sends and answers update
+	 */
+	public CrashBlame crashBlame() {
+		return this.crashBlame;
+	}
+
 	/**
 	 * Returns the loads of engines and links.
 	 * @return the loads, which requests update
@@ -561,6 +574,9 @@
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
 		boolean leaving = this.directory.findUsable(endpoint.id()).isEmpty();
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
+		if (!leaving) {
+			this.crashBlame.onEndpointEnded(endpoint.processId(), nowNanos);
+		}
 		for (Exchange exchange : new ArrayList<>(this.openExchanges)) {
 			if (exchange.path().filter((path) -> path.usesEndpoint(endpoint.id())).isPresent()) {
 				boolean isFirst = exchange.path().get().firstEndpoint().id().equals(endpoint.id());
@@ -648,6 +664,16 @@
 				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList());
 	}
 
+	// Returns after what time a request like this may be let through again, if such
+	// requests crash the endpoints that begin to answer them.
+	OptionalLong crashRefusalMs(Set<String> traits, long nowNanos) {
+		OptionalLong refusalMs = this.crashBlame.refusalMs(traits, nowNanos);
+		if (refusalMs.isPresent()) {
+			this.metrics.increment(EntryMetrics.Count.REFUSED_AS_CRASHING);
+		}
+		return refusalMs;
+	}
+
 	void recordMove(String requestId, String endpoint, String reason) {
 		this.metrics.increment(EntryMetrics.Count.MOVED);
 		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendProgress.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendProgress.java
@@ -7,6 +7,12 @@
  */
 final class SendProgress {
 
+	/**
+	 * Time after the beginning of an answer in which a crash may still be due to the
+	 * request, in ns.
+	 */
+	private static final long PROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	private final long sentAtNanos;
 
 	private boolean headReceived;
@@ -41,6 +47,24 @@
 		}
 	}
 
+	/**
+	 * Tells whether the answer has begun.
+	 * @return whether a part of it has arrived
+	 */
+	boolean hasBegun() {
+		return this.begun;
+	}
+
+	/**
+	 * Tells whether the endpoint goes on with the answer, so that the request does not
+	 * crash it.
+	 * @param nowNanos the current steady time in ns
+	 * @return whether the answer has begun some time ago
+	 */
+	boolean isProven(long nowNanos) {
+		return this.begun && nowNanos - this.begunAtNanos >= PROVEN_NANOS;
+	}
+
 	/**
 	 * Describes the progress for the log.
 	 * @param nowNanos the current steady time in ns
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/Endpoint.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/model/Endpoint.java
@@ -19,6 +19,14 @@
 public record Endpoint(String id, long incarnationStartMs, long heartbeat, String service, InetSocketAddress address,
 		String dataCentre, boolean draining, Optional<String> accelerator, Optional<LayerRange> layers) {
 
+	/**
+	 * Names the endpoint's process.
+	 * @return a text that differs for each incarnation of each endpoint
+	 */
+	public String processId() {
+		return this.id + "/" + this.incarnationStartMs;
+	}
+
 	/**
 	 * Tells whether another registration is of the same incarnation.
 	 * @param other the other registration
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -11,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
+import org.comfreyslip.entry.blame.CrashBlame;
 import org.comfreyslip.entry.config.FeedReader;
 import org.comfreyslip.entry.config.KeyedFeed;
 import org.comfreyslip.entry.config.KeyedLog.KeyedRecord;
@@ -71,6 +74,10 @@
 
 	private final RetryBudget budget;
 
+	private final CrashBlame blame;
+
+	private final CrashNoticeSender crashNotices;
+
 	private final PeerTable table;
 
 	private final KeyedFeed announcementsFeed = new KeyedFeed();
@@ -113,11 +120,12 @@
 	 * @param faults faults of the endpoints; sent and received
 	 * @param limits limits that endpoints stated; sent and received
 	 * @param budget retry budget that the daemons share
+	 * @param blame causes of crashes; sent and received
 	 */
 	public PeerExchange(EventLoop loop, String name, String dataCentre, InetSocketAddress address,
 			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configurationFeed, KeyedFeed registrationsFeed,
 			LayerLoads loads, EngineSlowdowns slowdownFactors, EndpointFaults faults, EndpointLimits limits,
-			RetryBudget budget) {
+			RetryBudget budget, CrashBlame blame) {
 		this.loop = loop;
 		this.name = name;
 		this.dataCentre = dataCentre;
@@ -131,6 +139,8 @@
 		this.faults = faults;
 		this.limits = limits;
 		this.budget = budget;
+		this.blame = blame;
+		this.crashNotices = new CrashNoticeSender(blame, new SplittableRandom(), System.nanoTime());
 		this.table = new PeerTable(dataCentre);
 	}
 
@@ -144,9 +154,20 @@
 
 	/** Opens the socket and starts the exchange. Must be called on the event loop. */
 	public void start() {
-		this.socket = new PeerSocket(this.loop, this.address, this::onMessage, (relay) -> this.onRelay.accept(relay));
+		this.socket = new PeerSocket(this.loop, this.address, this::onMessage, (relay) -> this.onRelay.accept(relay),
+				(notice) -> this.blame.onNotice(notice, System.nanoTime()));
 		announce();
 		this.loop.schedule(this::sendRound, PeerSchedule.LOCAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::sendCrashNotices, CrashNoticeSender.INTERVAL_MS,
+				CrashNoticeSender.INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void sendCrashNotices() {
+		for (CrashNoticeSender.Outgoing<PeerTable.Target> outgoing : this.crashNotices.update(this.table.targets(),
+				System.nanoTime())) {
+			byte[] datagram = CrashNoticeCodec.encode(outgoing.notice());
+			outgoing.targets().forEach((target) -> this.socket.send(datagram, target.address()));
+		}
 	}
 
 	private void announce() {
@@ -261,10 +282,11 @@
 		this.loads.setPeerLoads(this.table.totalLoads(now), System.nanoTime());
 		this.budget.setDaemonCount(this.table.countBudgetSharers(now));
 		List<PeerTable.Target> targets = this.table.targets();
+		Map<String, String> livePeers = this.table.livePeers(now);
 		boolean wasSilent = now - this.lastRoundNanos > PeerSchedule.silenceLimitNanos(this.table.countLocalPeers());
 		this.lastRoundNanos = now;
-		this.limits.setPeers(this.table.livePeers(now), wasSilent, PeerSchedule.settlingNanos(targets.size()),
-				System.nanoTime());
+		this.blame.setPeers(livePeers.keySet());
+		this.limits.setPeers(livePeers, wasSilent, PeerSchedule.settlingNanos(targets.size()), System.nanoTime());
 		boolean storeReachable = !this.stopping && !this.configurationFeed.isStoreUnavailable()
 				&& !this.registrationsFeed.isStoreUnavailable();
 		updateStoreReading(storeReachable, now);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
+import org.comfreyslip.entry.blame.CrashNotice;
 
 /**
  * UDP socket for the messages between daemons. Datagrams that are not messages are
@@ -37,9 +38,10 @@
 	 * @param address local address of the socket
 	 * @param onMessage receives each message with the address of its sender
 	 * @param onRelay receives the registrations that other daemons pass on
+	 * @param onCrashNotice receives what other daemons tell of crashes
 	 */
 	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> onMessage,
-			Consumer<RegistrationRelay> onRelay) {
+			Consumer<RegistrationRelay> onRelay, Consumer<CrashNotice> onCrashNotice) {
 		this.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
 			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
@@ -50,7 +52,9 @@
 					packet.content().readBytes(bytes);
 					PeerMessage.decode(bytes)
 						.ifPresentOrElse((message) -> onMessage.accept(message, packet.sender()),
-								() -> RegistrationRelay.decode(bytes).ifPresent(onRelay));
+								() -> RegistrationRelay.decode(bytes)
+									.ifPresentOrElse(onRelay,
+											() -> CrashNoticeCodec.decode(bytes).ifPresent(onCrashNotice)));
 				}
 
 				@Override
