--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/Convictions.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/Convictions.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
@@ -21,6 +22,12 @@
 	/** Largest number of convictions; the ones that end first are forgotten first. */
 	private static final int MAX_CONVICTIONS = 64;
 
+	/**
+	 * Least time by which a conviction must be longer to replace one, in ns. Ages grow
+	 * less in messages than the time that these take.
+	 */
+	private static final long MIN_EXTENSION_NANOS = TimeUnit.SECONDS.toNanos(2);
+
 	private final Map<Set<String>, Conviction> byTraits = new HashMap<>();
 
 	/**
@@ -69,7 +76,8 @@
 		boolean covered = this.byTraits.keySet()
 			.stream()
 			.anyMatch((other) -> !other.equals(added.traits()) && added.traits().containsAll(other));
-		if (covered || (known != null && known.remainingNanos(nowNanos) >= added.remainingNanos(nowNanos))) {
+		if (covered || (known != null
+				&& added.remainingNanos(nowNanos) - known.remainingNanos(nowNanos) < MIN_EXTENSION_NANOS)) {
 			return false;
 		}
 		this.byTraits.keySet().removeIf((other) -> !other.equals(added.traits()) && other.containsAll(added.traits()));
