Blame only traits that the crashes tell apart from all others

A request with a trait of two crashes is not repeated.

Not fixed: after all daemons have restarted at once, more than three bad requests may reach engines.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashBlame.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashBlame.java
@@ -26,11 +26,6 @@
  */
 public final class CrashBlame {
 
-	/**
-	 * Time after the start in which a daemon takes conclusions from others only, in ns.
-	 */
-	private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(5);
-
 	/**
 	 * Age from which an answer is told again, in ns, if the trait is at risk.
 	 */
@@ -39,22 +34,26 @@
 	/** Time after which a trial without a result may be followed by another, in ns. */
 	private static final long TRIAL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+	/**
+	 * Number of times that a report is sent. A daemon that misses one may blame another
+	 * trait than the others.
+	 */
+	private static final int REPORT_SENDS = 2;
+
 	/** Largest number of requests in one report. */
 	private static final int MAX_REPORTED = 32;
 
 	/** Largest number of traits in one notice of answers. */
-	private static final int MAX_ANSWERED = 64;
+	private static final int MAX_ANSWERED = 256;
 
 	/** Largest number of convictions in one notice. */
 	private static final int MAX_CONVICTIONS = 32;
 
-	private final long startedNanos;
-
 	private final SoundTraits sound = new SoundTraits();
 
 	private final CrashWitness witness = new CrashWitness();
 
-	private final CrashLedger ledger = new CrashLedger(this.sound);
+	private final CrashLedger ledger;
 
 	private final Convictions convictions = new Convictions();
 
@@ -63,8 +62,8 @@
 	/** Steady time in ns of the last trial of this daemon, by traits of the cause. */
 	private final Map<Set<String>, Long> trials = new HashMap<>();
 
-	/** Reports that the other daemons have not been told yet. */
-	private final List<CrashReport> unsentReports = new ArrayList<>();
+	/** Reports that the other daemons have not been told as often as needed. */
+	private final List<OwnReport> unsentReports = new ArrayList<>();
 
 	/** Sound traits that the other daemons have to be told of. */
 	private final Set<String> unsentAnswers = new HashSet<>();
@@ -75,15 +74,13 @@
 	/** Convictions that the other daemons have not been told yet. */
 	private final Set<Set<String>> unsentConvictions = new HashSet<>();
 
-	private boolean alone = true;
-
 	/**
 	 * Creates a record without crashes.
 	 * @param daemon this daemon's name
 	 * @param nowNanos the current steady time in ns
 	 */
 	public CrashBlame(String daemon, long nowNanos) {
-		this.startedNanos = nowNanos;
+		this.ledger = new CrashLedger(this.sound, nowNanos);
 		this.turn = new TrialTurn(daemon);
 	}
 
@@ -92,7 +89,6 @@
 	 * @param peers the names of the daemons that are alive, without this one
 	 */
 	public void setPeers(Collection<String> peers) {
-		this.alone = peers.isEmpty();
 		this.turn.setPeers(peers);
 	}
 
@@ -124,6 +120,17 @@
 		return OptionalLong.empty();
 	}
 
+	/**
+	 * Tells whether a request may be sent to another endpoint after the one that had it
+	 * has ended.
+	 * @param traits the request's traits
+	 * @param nowNanos the current steady time in ns
+	 * @return whether it may be repeated
+	 */
+	public boolean mayRepeat(Set<String> traits, long nowNanos) {
+		return !this.ledger.isSuspected(traits, this.convictions.causes(), nowNanos);
+	}
+
 	/**
 	 * Records that a send broke off before the answer had begun.
 	 * @param endpoint identity and start of the endpoint's process
@@ -151,8 +158,8 @@
 	 * @param nowNanos the current steady time in ns
 	 */
 	public void onAnswered(Set<String> traits, long nowNanos) {
+		this.sound.recordOwn(traits, nowNanos);
 		for (String trait : traits) {
-			this.sound.record(trait, nowNanos);
 			if (this.convictions.acquit(trait, nowNanos)) {
 				this.unsentAnswers.add(trait);
 			}
@@ -208,7 +215,7 @@
 			CrashReport limited = new CrashReport(report.endpoint(), report.ageNanos(),
 					likeliest(report.suspects(), nowNanos));
 			addReport(limited, nowNanos);
-			this.unsentReports.add(limited);
+			this.unsentReports.add(new OwnReport(limited, nowNanos, REPORT_SENDS));
 		}
 		this.ledger.removeExpired(nowNanos);
 		this.convictions.removeExpired(nowNanos);
@@ -222,9 +229,6 @@
 	}
 
 	private void convict(long nowNanos) {
-		if (!this.alone && nowNanos - this.startedNanos <= LEARNING_NANOS) {
-			return;
-		}
 		this.ledger.findCause(this.convictions.causes(), nowNanos).ifPresent((traits) -> {
 			if (this.convictions.add(Conviction.first(traits, nowNanos), "CRASHES", nowNanos)) {
 				this.unsentConvictions.add(traits);
@@ -261,7 +265,8 @@
 				this.toldAnswers.put(trait, last.getAsLong());
 			}
 		}
-		for (CrashReport report : this.unsentReports) {
+		List<CrashReport> reports = this.unsentReports.stream().map((one) -> one.report(nowNanos)).toList();
+		for (CrashReport report : reports) {
 			for (SuspectRequest suspect : report.suspects()) {
 				for (String trait : suspect.traits()) {
 					OptionalLong last = this.sound.lastAnswer(trait, nowNanos);
@@ -277,9 +282,10 @@
 			.filter((one) -> this.unsentConvictions.contains(one.traits()))
 			.map((one) -> describe(one, nowNanos))
 			.toList();
-		CrashNotice notice = new CrashNotice(List.copyOf(this.unsentReports), answered, causes);
+		CrashNotice notice = new CrashNotice(reports, answered, causes);
 		this.unsentAnswers.clear();
-		this.unsentReports.clear();
+		this.unsentReports.replaceAll(OwnReport::afterSend);
+		this.unsentReports.removeIf((one) -> one.sendsLeft() == 0);
 		this.unsentConvictions.clear();
 		return notice;
 	}
@@ -313,4 +319,24 @@
 		return this.convictions.all().size();
 	}
 
+	/**
+	 * A report of this daemon.
+	 *
+	 * @param original the report as it was made
+	 * @param madeNanos steady time in ns at which it was made
+	 * @param sendsLeft how often it is still to be sent
+	 */
+	private record OwnReport(CrashReport original, long madeNanos, int sendsLeft) {
+
+		CrashReport report(long nowNanos) {
+			return new CrashReport(this.original.endpoint(), this.original.ageNanos() + nowNanos - this.madeNanos,
+					this.original.suspects());
+		}
+
+		OwnReport afterSend() {
+			return new OwnReport(this.original, this.madeNanos, this.sendsLeft - 1);
+		}
+
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +36,11 @@
 	 */
 	private static final int SPARSE_CRASHES = 4;
 
+	/**
+	 * Number of crashes with different requests from which on a request is not repeated.
+	 */
+	private static final int SUSPECT_CRASHES = 2;
+
 	/**
 	 * Longest time between the first and the last of {@link #DENSE_CRASHES}, in ns;
 	 * longer than an engine needs to start again.
@@ -59,19 +63,20 @@
 	private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
 	/**
-	 * Longest time between crashes that count as one, in ns: hosts that are lost
-	 * together, for example with their rack.
+	 * Least time from the first crash to the last one, in ns, that shows that a trait is
+	 * a cause although requests with it may have been answered shortly before.
 	 */
-	private static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+	private static final long LASTING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
 	/**
-	 * Least time from the first crash to the last one, in ns, that shows that a trait is
-	 * a cause although requests with it were answered shortly before.
+	 * Time after its start in which a daemon does not know which traits are sound, in ns.
 	 */
-	private static final long LASTING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+	private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	private final SoundTraits sound;
 
+	private final long startedNanos;
+
 	/** Whether a report has arrived since the conclusions were drawn. */
 	private boolean changed;
 
@@ -84,9 +89,11 @@
 	/**
 	 * Creates a ledger without crashes.
 	 * @param sound when requests with a trait were last answered
+	 * @param nowNanos the current steady time in ns
 	 */
-	CrashLedger(SoundTraits sound) {
+	CrashLedger(SoundTraits sound, long nowNanos) {
 		this.sound = sound;
+		this.startedNanos = nowNanos;
 	}
 
 	/**
@@ -156,7 +163,7 @@
 	 * crashes show no further cause
 	 */
 	Optional<Set<String>> findCause(Collection<Set<String>> convicted, long nowNanos) {
-		Candidate best = null;
+		List<Candidate> convincing = new ArrayList<>();
 		List<Crash> unexplained = settled(nowNanos).stream()
 			.filter((crash) -> convicted.stream().noneMatch(crash::isExplainedBy))
 			.toList();
@@ -166,11 +173,19 @@
 			}
 			Candidate candidate = assess(entry.getKey(), entry.getValue(), unexplained, nowNanos);
 			boolean known = convicted.stream().anyMatch((traits) -> candidate.common().containsAll(traits));
-			if (candidate.convincing() && !known && (best == null || Candidate.ORDER.compare(candidate, best) > 0)) {
-				best = candidate;
+			if (candidate.convincing() && !known) {
+				convincing.add(candidate);
 			}
 		}
-		return Optional.ofNullable(best).map(Candidate::common);
+		return convincing.stream().max(Candidate.ORDER).map((best) -> {
+			// Of several causes that are equally likely, none is blamed without the
+			// others.
+			Set<String> traits = new HashSet<>();
+			convincing.stream()
+				.filter((one) -> Candidate.ORDER.compare(one, best) == 0)
+				.forEach((one) -> traits.addAll(one.common()));
+			return Set.copyOf(traits);
+		});
 	}
 
 	// Returns by trait the crashes that count against it, in order of their times, with
@@ -212,45 +227,39 @@
 	private Candidate assess(String trait, List<Incident> incidents, List<Crash> unexplained, long nowNanos) {
 		long firstNanos = incidents.get(0).atNanos();
 		long lastNanos = incidents.get(incidents.size() - 1).atNanos();
-		OptionalLong answered = this.sound.lastAnswer(trait, nowNanos);
-		Set<String> common = new HashSet<>();
-		boolean isFirst = true;
-		for (Incident incident : incidents) {
-			for (Set<String> traits : incident.requests().values()) {
-				if (isFirst) {
-					common.addAll(traits);
-					isFirst = false;
-				}
-				else {
-					common.retainAll(traits);
-				}
-			}
-		}
-		common.removeIf((other) -> !other.equals(trait) && this.sound.lastAnswer(other, nowNanos).isPresent());
+		boolean mayBeSound = this.sound.lastAnswer(trait, nowNanos).isPresent()
+				|| firstNanos - this.startedNanos < LEARNING_NANOS;
+		Set<String> common = Incident.commonTraits(trait, incidents,
+				(other) -> this.sound.lastAnswer(other, nowNanos).isEmpty());
 		int needed = (lastNanos - firstNanos <= DENSE_NANOS) ? DENSE_CRASHES : SPARSE_CRASHES;
-		List<Set<String>> separate = separate(incidents);
-		int others = separate(unexplained.stream()
-			.filter((crash) -> crash.atNanos - firstNanos > 0 && lastNanos - crash.atNanos > 0)
-			.filter((crash) -> crash.suspects.values().stream().noneMatch((traits) -> traits.contains(trait)))
-			.map((crash) -> new Incident(crash.atNanos, crash.suspects))
-			.toList()).size();
-		boolean convincing = CrashMatching.count(separate, needed) >= needed && others <= separate.size()
-				&& (answered.isEmpty() || lastNanos - firstNanos >= LASTING_NANOS);
-		return new Candidate(Set.copyOf(common), convincing, answered.isPresent(), incidents.size());
+		List<Set<String>> independent = Incident.separate(incidents, common);
+		int others = Incident
+			.separate(unexplained.stream()
+				.filter((crash) -> crash.atNanos - firstNanos > 0 && lastNanos - crash.atNanos > 0)
+				.filter((crash) -> !crash.isExplainedBy(Set.of(trait)))
+				.map((crash) -> new Incident(crash.atNanos, crash.suspects))
+				.toList(), Set.of())
+			.size();
+		boolean convincing = CrashMatching.count(independent, needed) >= needed && others <= independent.size()
+				&& (!mayBeSound
+						|| (lastNanos - firstNanos >= LASTING_NANOS && this.sound.areOthersAnsweredSince(firstNanos)));
+		return new Candidate(common, convincing, mayBeSound, incidents.size());
 	}
 
-	// Returns the requests of each crash, with crashes at the same time as one.
-	private static List<Set<String>> separate(List<Incident> incidents) {
-		List<Set<String>> separate = new ArrayList<>();
-		long previousNanos = 0;
-		for (Incident incident : incidents) {
-			if (separate.isEmpty() || incident.atNanos() - previousNanos > SIMULTANEOUS_NANOS) {
-				separate.add(new HashSet<>());
-			}
-			separate.get(separate.size() - 1).addAll(incident.requests().keySet());
-			previousNanos = incident.atNanos();
-		}
-		return separate;
+	/**
+	 * Tells whether a request should not be repeated after a crash, since different
+	 * requests with one of its traits were at two crashes before and none was answered.
+	 * @param traits the request's traits
+	 * @param convicted the traits of the known causes
+	 * @param nowNanos the current steady time in ns
+	 * @return whether it is suspected
+	 */
+	boolean isSuspected(Set<String> traits, Collection<Set<String>> convicted, long nowNanos) {
+		Map<String, List<Incident>> byTrait = collect(convicted, nowNanos);
+		return traits.stream()
+			.filter((trait) -> byTrait.containsKey(trait) && this.sound.lastAnswer(trait, nowNanos).isEmpty())
+			.map((trait) -> Incident.separate(byTrait.get(trait), Set.of(trait)))
+			.anyMatch((crashes) -> CrashMatching.count(crashes, SUSPECT_CRASHES) == SUSPECT_CRASHES);
 	}
 
 	/** A crash with the requests that may have caused it. */
@@ -274,31 +283,23 @@
 
 	}
 
-	/**
-	 * A crash that counts against a trait.
-	 *
-	 * @param atNanos steady time in ns at which the endpoint ended
-	 * @param requests the traits that count of each request with the trait
-	 */
-	private record Incident(long atNanos, Map<String, Set<String>> requests) {
-	}
-
 	/**
 	 * A trait that may be a cause.
 	 *
-	 * @param common what all requests with the trait have in common, the trait included
+	 * @param common the traits of the cause: the trait and those that cannot be told
+	 * apart from it
 	 * @param convincing whether the crashes show that it is a cause
-	 * @param answeredBefore whether a request with it was answered before the crashes
+	 * @param mayBeSound whether a request with it may have been answered before the
+	 * crashes
 	 * @param crashCount number of crashes that count against it
 	 */
-	private record Candidate(Set<String> common, boolean convincing, boolean answeredBefore, int crashCount) {
+	private record Candidate(Set<String> common, boolean convincing, boolean mayBeSound, int crashCount) {
 
 		/** The likeliest cause, and of equally likely ones the most specific, is last. */
-		private static final Comparator<Candidate> ORDER = Comparator.comparing(Candidate::answeredBefore)
+		private static final Comparator<Candidate> ORDER = Comparator.comparing(Candidate::mayBeSound)
 			.reversed()
 			.thenComparingInt(Candidate::crashCount)
-			.thenComparingInt((candidate) -> candidate.common().size())
-			.thenComparing((candidate) -> candidate.common().stream().sorted().toList().toString());
+			.thenComparingInt((candidate) -> candidate.common().size());
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/SoundTraits.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/SoundTraits.java
@@ -1,8 +1,11 @@
 package org.comfreyslip.entry.blame;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -13,12 +16,43 @@
 	/** Time for which an answer is remembered, in ns. */
 	static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+	/**
+	 * Number of answers that show that endpoints answer other requests while none with a
+	 * trait is answered.
+	 */
+	private static final int TELLING_ANSWERS = 5;
+
 	/** Largest number of traits; those answered longest ago are forgotten first. */
 	private static final int MAX_TRAITS = 8_192;
 
+	/** Steady times in ns of the last answers of this daemon's requests. */
+	private final Deque<Long> lastAnswers = new ArrayDeque<>();
+
 	/** Steady time in ns of the last answer by trait, in the order of the records. */
 	private final Map<String, Long> answeredNanos = new LinkedHashMap<>();
 
+	/**
+	 * Records that a request of this daemon was answered.
+	 * @param traits the request's traits
+	 * @param nowNanos the current steady time in ns
+	 */
+	void recordOwn(Set<String> traits, long nowNanos) {
+		traits.forEach((trait) -> record(trait, nowNanos));
+		this.lastAnswers.addLast(nowNanos);
+		if (this.lastAnswers.size() > TELLING_ANSWERS) {
+			this.lastAnswers.removeFirst();
+		}
+	}
+
+	/**
+	 * Tells whether endpoints have answered requests of this daemon since a time.
+	 * @param sinceNanos the steady time in ns
+	 * @return whether there were {@link #TELLING_ANSWERS}
+	 */
+	boolean areOthersAnsweredSince(long sinceNanos) {
+		return this.lastAnswers.size() == TELLING_ANSWERS && this.lastAnswers.getFirst() - sinceNanos >= 0;
+	}
+
 	/**
 	 * Records an answer unless a later one is known.
 	 * @param trait the trait
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -574,9 +574,9 @@
 		if (cause == SendFailureCause.CLOSED && !this.proven && !this.progress.isProven(now)) {
 			this.router.crashBlame()
 				.onSendBroken(this.endpoint.processId(), new SuspectRequest(id(), this.traits), now);
-			if (hasEndedAnotherEndpoint()) {
+			if (hasEndedAnotherEndpoint() || !this.router.crashBlame().mayRepeat(this.traits, now)) {
 				endSend(-1);
-				failRequest("endpoint " + endpointId + " ended, as did one before");
+				failRequest("endpoint " + endpointId + " ended, as did others before");
 				return;
 			}
 		}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashBlameTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashBlameTests.java
@@ -14,7 +14,7 @@
  */
 class CrashBlameTests {
 
-	private final CrashBlame blame = new CrashBlame("d1", 0);
+	private final CrashBlame blame = new CrashBlame("d1", -nanos(60_000));
 
 	private int crashCount;
 
@@ -118,6 +118,7 @@
 		this.blame.onAnswered(Set.of("part"), nanos(900));
 		for (int crash = 0; crash < 5; crash++) {
 			crash(1_000 + 200 * crash, List.of(Set.of("part")));
+			this.blame.onAnswered(Set.of("other"), nanos(1_000 + 200 * crash));
 		}
 		assertThat(isRefused(2_100, "part")).isFalse();
 		crash(2_600, List.of(Set.of("part")));
@@ -190,4 +191,45 @@
 		assertThat(this.blame.convictionCount()).isLessThanOrEqualTo(64);
 	}
 
+	// Two requests with the cause and one without it share a trait.
+	@Test
+	void aTraitThatACallerOfBadRequestsListsIsNotRefusedWithoutTheCause() {
+		crash(1_000, List.of(Set.of("bad", "victim")));
+		crash(2_000, List.of(Set.of("bad", "victim")));
+		crash(3_000, List.of(Set.of("bad"), Set.of("victim")));
+		crash(4_000, List.of(Set.of("bad", "victim")));
+		assertThat(isRefused(4_500, "bad", "victim")).isTrue();
+		assertThat(isRefused(4_500, "victim")).isFalse();
+	}
+
+	@Test
+	void aRequestWithATraitOfTwoCrashesIsNotRepeated() {
+		crash(1_000, List.of(Set.of("bad")));
+		assertThat(this.blame.mayRepeat(Set.of("bad"), nanos(1_500))).isTrue();
+		crash(2_000, List.of(Set.of("bad")));
+		assertThat(this.blame.mayRepeat(Set.of("bad"), nanos(2_500))).isFalse();
+		assertThat(this.blame.mayRepeat(Set.of("other"), nanos(2_500))).isTrue();
+	}
+
+	@Test
+	void aTraitIsNotRefusedForAnOutageInWhichNoRequestIsAnswered() {
+		this.blame.onAnswered(Set.of("kind"), nanos(500));
+		for (int crash = 1; crash <= 4; crash++) {
+			crash(1_000 * crash, List.of(Set.of("kind")));
+		}
+		assertThat(isRefused(5_000, "kind")).isFalse();
+	}
+
+	@Test
+	void aDaemonThatHasJustStartedBlamesNoTraitBeforeItKnowsWhichAreSound() {
+		CrashBlame started = new CrashBlame("d2", 0);
+		for (int crash = 1; crash <= 4; crash++) {
+			started.onSendBroken("e" + crash, new SuspectRequest("r" + crash, Set.of("kind")), nanos(100 * crash));
+			started.onEndpointEnded("e" + crash, nanos(100 * crash + 5));
+		}
+		started.update(nanos(500));
+		started.update(nanos(800));
+		assertThat(started.refusalMs(Set.of("kind"), nanos(900))).isEmpty();
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
@@ -1,8 +1,8 @@
 package org.comfreyslip.entry.blame;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -227,7 +227,7 @@
 
 		private final String id;
 
-		private final Set<Request> requests = new HashSet<>();
+		private final Set<Request> requests = new LinkedHashSet<>();
 
 		private boolean running = true;
 
@@ -260,7 +260,7 @@
 			this.running = false;
 			CrashSimulation.this.engines.remove(this);
 			at(CrashSimulation.this.nowMs + REPLACEMENT_MS, () -> CrashSimulation.this.engines.add(newEngine()));
-			Set<Daemon> affected = new HashSet<>();
+			Set<Daemon> affected = new LinkedHashSet<>();
 			for (Request request : this.requests) {
 				affected.add(request.daemon);
 				at(CrashSimulation.this.nowMs + 1 + CrashSimulation.this.random.nextInt(3),
@@ -330,7 +330,8 @@
 				this.daemon.blame.onSendBroken(engine.id, new SuspectRequest(this.id, this.traits),
 						this.daemon.nowNanos());
 			}
-			if (isSuspect && !this.brokenAt.isEmpty()) {
+			if (isSuspect && (!this.brokenAt.isEmpty()
+					|| !this.daemon.blame.mayRepeat(this.traits, this.daemon.nowNanos()))) {
 				finish(Outcome.FAILED);
 				return;
 			}
@@ -396,7 +397,7 @@
 				return;
 			}
 			if (this.running) {
-				Map<String, Daemon> peers = new HashMap<>(CrashSimulation.this.daemons);
+				Map<String, Daemon> peers = new TreeMap<>(CrashSimulation.this.daemons);
 				peers.remove(this.name);
 				peers.values().removeIf((peer) -> !peer.running || !peer.connected || !this.connected);
 				this.blame.setPeers(peers.keySet());
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/SharedCrashBlameTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/SharedCrashBlameTests.java
@@ -115,6 +115,20 @@
 		assertThatSoundRequestsBeginAsBefore();
 	}
 
+	@Tag("known-red")
+	@ParameterizedTest
+	@CsvSource({ "7, 1", "7, 2", "7, 5" })
+	void thePartIsFoundAgainAfterAllDaemonsRestarted(int daemonCount, double perSecond) {
+		for (this.seed = 1; this.seed <= 10; this.seed++) {
+			start(daemonCount);
+			sendBadRequests(perSecond);
+			this.simulation.at(30_000, () -> this.simulation.daemonNames().forEach(this.simulation::restart));
+			this.simulation.play(LENGTH_MS);
+			assertThatBadRequestsAreKeptFromEngines();
+			assertThat(this.simulation.countRefused(IS_SOUND, 0)).isZero();
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "7, 1", "7, 4", "95, 1", "95, 20", "390, 1", "390, 60" })
 	void hostsThatAreKilledWithManyRequestsConvictNone(int daemonCount, int enginesAtOnce) {
