--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -22,6 +22,7 @@
 import org.comfreyslip.entry.blame.RequestTraits;
 import org.comfreyslip.entry.blame.SuspectRequest;
 import org.comfreyslip.entry.layers.LayerPath;
+import org.comfreyslip.entry.model.ClientAccount;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
@@ -545,6 +546,10 @@
 		dispatch();
 	}
 
+	private String digest() {
+		return RequestDigest.of(this.callerRequest, this.admitted.account().map(ClientAccount::name).orElse(""));
+	}
+
 	@Override
 	public void onSendFailed(SendFailureCause cause) {
 		if (this.finished) {
@@ -553,7 +558,7 @@
 		long now = System.nanoTime();
 		String endpointId = this.endpoint.id();
 		this.router.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
-				this.requestFields.sharedPromptParts());
+				this.requestFields.sharedPromptParts(), digest());
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -659,9 +659,9 @@
 
 	// Logs that a send ended without a complete response.
 	void recordBrokenSend(String requestId, Endpoint endpoint, SendFailureCause cause, String progress,
-			List<String> promptParts) {
+			List<String> promptParts, String digest) {
 		EntryLog.write(EntryEvent.SEND_BROKEN, requestId, "endpoint", endpoint.id(), "cause", cause, "progress",
-				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList());
+				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList(), "digest", digest);
 	}
 
 	// Returns after what time a request like this may be let through again, if such
