Refuse a request that crashes each endpoint that runs it

Ruled out: overload of the next engine by moved streams (an endpoint of the plain service, which runs few requests at a time, ended 99 ms after it had begun the request); repeats within one attempt alone (ten attempts up to 41.9 s).

Why this works: a digest of host, method, path, client account and body is one more trait of a request, equal at all daemons. Only the same request has it, so that three attempts at crashes show the cause however far they are apart, also at a daemon that has just started, and no other request can be refused for it. After two crashes the next attempt is not repeated, so that the third attempt after the first is refused. Where a send to a plain service breaks off, one connection shows whether the endpoint has ended; such an endpoint is also avoided from then on.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
@@ -228,10 +228,11 @@
 		long firstNanos = incidents.get(0).atNanos();
 		long lastNanos = incidents.get(incidents.size() - 1).atNanos();
 		boolean mayBeSound = this.sound.lastAnswer(trait, nowNanos).isPresent()
-				|| firstNanos - this.startedNanos < LEARNING_NANOS;
+				|| (firstNanos - this.startedNanos < LEARNING_NANOS && !RequestTraits.isOfOneRequest(trait));
 		Set<String> common = Incident.commonTraits(trait, incidents,
 				(other) -> this.sound.lastAnswer(other, nowNanos).isEmpty());
-		int needed = (lastNanos - firstNanos <= DENSE_NANOS) ? DENSE_CRASHES : SPARSE_CRASHES;
+		boolean needsMore = lastNanos - firstNanos > DENSE_NANOS && !RequestTraits.isOfOneRequest(trait);
+		int needed = (needsMore) ? SPARSE_CRASHES : DENSE_CRASHES;
 		List<Set<String>> independent = Incident.separate(incidents, common);
 		int others = Incident
 			.separate(unexplained.stream()
@@ -247,8 +248,9 @@
 	}
 
 	/**
-	 * Tells whether a request should not be repeated after a crash, since different
-	 * requests with one of its traits were at two crashes before and none was answered.
+	 * Tells whether a request should not be repeated after a crash, since it was at two
+	 * crashes before, or different requests with one of its traits were, and none was
+	 * answered.
 	 * @param traits the request's traits
 	 * @param convicted the traits of the known causes
 	 * @param nowNanos the current steady time in ns
@@ -258,8 +260,14 @@
 		Map<String, List<Incident>> byTrait = collect(convicted, nowNanos);
 		return traits.stream()
 			.filter((trait) -> byTrait.containsKey(trait) && this.sound.lastAnswer(trait, nowNanos).isEmpty())
-			.map((trait) -> Incident.separate(byTrait.get(trait), Set.of(trait)))
-			.anyMatch((crashes) -> CrashMatching.count(crashes, SUSPECT_CRASHES) == SUSPECT_CRASHES);
+			.anyMatch((trait) -> isSuspected(trait, byTrait.get(trait)));
+	}
+
+	private static boolean isSuspected(String trait, List<Incident> incidents) {
+		if (RequestTraits.isOfOneRequest(trait)) {
+			return incidents.size() >= SUSPECT_CRASHES;
+		}
+		return CrashMatching.count(Incident.separate(incidents, Set.of(trait)), SUSPECT_CRASHES) == SUSPECT_CRASHES;
 	}
 
 	/** A crash with the requests that may have caused it. */
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/RequestTraits.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/RequestTraits.java
@@ -9,6 +9,8 @@
  */
 public final class RequestTraits {
 
+	private static final String REQUEST = "/request/";
+
 	private RequestTraits() {
 	}
 
@@ -18,14 +20,26 @@
 	 * those of others
 	 * @param sharedPromptParts identities of the parts of its prompt that other requests
 	 * may share
-	 * @return the traits; may be empty
+	 * @param digest digest that only the same request has when it is sent again
+	 * @return the traits; not empty
 	 */
-	public static Set<String> of(String service, List<String> sharedPromptParts) {
+	public static Set<String> of(String service, List<String> sharedPromptParts, String digest) {
 		Set<String> traits = new HashSet<>();
+		traits.add(service + REQUEST + digest);
 		for (String part : sharedPromptParts) {
 			traits.add(service + "/part/" + part);
 		}
 		return Set.copyOf(traits);
 	}
 
+	/**
+	 * Tells whether a trait is that of a single request, which has it each time that it
+	 * is sent again.
+	 * @param trait the trait
+	 * @return whether no other request has it
+	 */
+	static boolean isOfOneRequest(String trait) {
+		return trait.contains(REQUEST);
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
@@ -75,6 +75,27 @@
 		connect(added, nowNanos);
 	}
 
+	// Opens a connection to an endpoint and closes it again, to find out whether its
+	// process has ended. Endpoints of plain services are not monitored, since each
+	// connection takes one of few.
+	void checkOnce(Endpoint endpoint) {
+		this.bootstrap.clone()
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(endpoint.address())
+			.addListener((ChannelFuture connected) -> {
+				if (connected.isSuccess()) {
+					connected.channel().close();
+				}
+				else if (isRefusal(connected.cause())) {
+					this.onRefused.accept(endpoint, System.nanoTime());
+				}
+			});
+	}
+
+	private static boolean isRefusal(Throwable cause) {
+		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+	}
+
 	// Closes connections that are no longer needed, and reopens lost ones.
 	void updateConnections(long nowNanos) {
 		this.monitored.values().removeIf((target) -> {
@@ -106,8 +127,7 @@
 		}).connect(target.endpoint.address()).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess() && target.channel == connected.channel()) {
 				target.channel = null;
-				if (connected.cause() instanceof ConnectException
-						&& !(connected.cause() instanceof ConnectTimeoutException)) {
+				if (isRefusal(connected.cause())) {
 					this.onRefused.accept(target.endpoint, System.nanoTime());
 				}
 			}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -76,6 +76,9 @@
 	/** The admitted request, or null before admission. */
 	private Router.AdmittedRequest admitted;
 
+	/** Digest that only this request has when it is sent again. */
+	private String digest = "";
+
 	/** What other requests that crash endpoints may have in common with this one. */
 	private Set<String> traits = Set.of();
 
@@ -182,7 +185,8 @@
 			return;
 		}
 		this.admitted = admission.admitted();
-		this.traits = RequestTraits.of(this.admitted.service(), this.requestFields.sharedPromptParts());
+		this.digest = RequestDigest.of(this.callerRequest, this.admitted.account().map(ClientAccount::name).orElse(""));
+		this.traits = RequestTraits.of(this.admitted.service(), this.requestFields.sharedPromptParts(), this.digest);
 		long waitMs = this.admitted.route().timeoutMs();
 		if (this.requestFields.deadlineMs() >= 0) {
 			waitMs = Math.min(waitMs, this.requestFields.deadlineMs());
@@ -483,6 +487,9 @@
 			return;
 		}
 		boolean failed = status >= 500;
+		if (!failed && this.path == null) {
+			recordProven(now);
+		}
 		this.router.faults().recordResponse(this.endpoint.id(), failed, now);
 		if (failed && this.admitted.route().mayRunAgain() && !this.streamStarted && recordRunAndTakeRetry()) {
 			this.mayHaveRun = true;
@@ -546,10 +553,6 @@
 		dispatch();
 	}
 
-	private String digest() {
-		return RequestDigest.of(this.callerRequest, this.admitted.account().map(ClientAccount::name).orElse(""));
-	}
-
 	@Override
 	public void onSendFailed(SendFailureCause cause) {
 		if (this.finished) {
@@ -558,7 +561,7 @@
 		long now = System.nanoTime();
 		String endpointId = this.endpoint.id();
 		this.router.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
-				this.requestFields.sharedPromptParts(), digest());
+				this.requestFields.sharedPromptParts(), this.digest);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
@@ -577,6 +580,9 @@
 		this.mayHaveRun = true;
 		this.framer.dropPartialEvent();
 		if (cause == SendFailureCause.CLOSED && !this.proven && !this.progress.isProven(now)) {
+			if (this.path == null) {
+				this.router.checkWhetherEnded(this.endpoint);
+			}
 			this.router.crashBlame()
 				.onSendBroken(this.endpoint.processId(), new SuspectRequest(id(), this.traits), now);
 			if (hasEndedAnotherEndpoint() || !this.router.crashBlame().mayRepeat(this.traits, now)) {
@@ -681,7 +687,7 @@
 			return;
 		}
 		respond(OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE,
-				"requests with a part of this prompt crash the endpoints", retryAfterMs), Outcome.REFUSED, reason);
+				"requests like this one crash the endpoints", retryAfterMs), Outcome.REFUSED, reason);
 	}
 
 	private void failRequest(String reason) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -591,6 +591,12 @@
 		return this.faults.hasExitedUnexpectedly(id);
 	}
 
+	// Finds out whether an endpoint of a plain service, which is not monitored, has
+	// ended.
+	void checkWhetherEnded(Endpoint endpoint) {
+		this.monitor.checkOnce(endpoint);
+	}
+
 	void monitorPath(LayerPath path, long nowNanos) {
 		path.stages().forEach((stage) -> this.monitor.monitor(stage.endpoint(), nowNanos));
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashBlameTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashBlameTests.java
@@ -232,4 +232,25 @@
 		assertThat(started.refusalMs(Set.of("kind"), nanos(900))).isEmpty();
 	}
 
+	@Test
+	void aRequestThatIsSentAgainIsRefusedHoweverFarItsCrashesAreApart() {
+		for (int crash = 1; crash <= 3; crash++) {
+			crash(10_000 * crash, List.of(Set.of("kind", "m/request/1"), Set.of("kind", "m/request/2" + crash)));
+			this.blame.onAnswered(Set.of("kind", "m/request/3" + crash), nanos(10_000 * crash + 500));
+		}
+		assertThat(isRefused(31_000, "kind", "m/request/1")).isTrue();
+		assertThat(isRefused(31_000, "kind", "m/request/4")).isFalse();
+	}
+
+	@Test
+	void aRequestWhoseAttemptCrashedTwoEndpointsIsNotRepeatedInTheNextAttempt() {
+		crashUnder("r", Set.of("m/request/1"), "e1", 100);
+		crashUnder("r", Set.of("m/request/1"), "e2", 200);
+		this.blame.onEndpointEnded("e1", nanos(105));
+		this.blame.onEndpointEnded("e2", nanos(205));
+		this.blame.update(nanos(250));
+		assertThat(this.blame.mayRepeat(Set.of("m/request/1"), nanos(500))).isFalse();
+		assertThat(this.blame.mayRepeat(Set.of("m/request/2"), nanos(500))).isTrue();
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
@@ -32,6 +32,9 @@
 
 	private static final double DATAGRAM_LOSS = 0.01;
 
+	/** Time after which a caller sends a request again that failed, in ms. */
+	private static final long RETRY_MS = 200;
+
 	/** Time after its beginning after which an answer proves the request, in ms. */
 	private static final long PROVEN_MS = 300;
 
@@ -54,6 +57,9 @@
 
 	private Predicate<Set<String>> crashes = (traits) -> false;
 
+	/** How often a caller sends a request again that failed. */
+	private int retries = 1;
+
 	private long nowMs;
 
 	private int eventCount;
@@ -105,7 +111,23 @@
 			at((long) nextMs, () -> {
 				Daemon daemon = this.daemons.get(this.daemonNames.get(this.random.nextInt(this.daemonNames.size())));
 				if (daemon.running) {
-					daemon.receive(traits.get());
+					daemon.receive(traits.get(), this.retries);
+				}
+			});
+		}
+	}
+
+	private Daemon anyDaemon() {
+		return this.daemons.get(this.daemonNames.get(this.random.nextInt(this.daemonNames.size())));
+	}
+
+	// Sends one request again and again, whatever becomes of it.
+	void repeatRequest(Set<String> traits, long intervalMs, long fromMs, long untilMs) {
+		for (long nextMs = fromMs; nextMs < untilMs; nextMs += intervalMs) {
+			at(nextMs, () -> {
+				Daemon daemon = anyDaemon();
+				if (daemon.running) {
+					daemon.receive(traits, 0);
 				}
 			});
 		}
@@ -280,6 +302,8 @@
 
 		private final Set<String> traits;
 
+		private final int retriesLeft;
+
 		private final long arrivedMs;
 
 		private final Set<String> brokenAt = new HashSet<>();
@@ -292,8 +316,9 @@
 
 		private boolean finished;
 
-		Request(String id, Daemon daemon, Set<String> traits) {
+		Request(String id, Daemon daemon, Set<String> traits, int retriesLeft) {
 			this.id = id;
+			this.retriesLeft = retriesLeft;
 			this.daemon = daemon;
 			this.traits = traits;
 			this.arrivedMs = CrashSimulation.this.nowMs;
@@ -344,6 +369,10 @@
 			if (!this.finished) {
 				this.finished = true;
 				CrashSimulation.this.results.add(new Result(this.arrivedMs, this.traits, outcome));
+				if (outcome == Outcome.FAILED && this.retriesLeft > 0) {
+					at(CrashSimulation.this.nowMs + RETRY_MS,
+							() -> anyDaemon().receive(this.traits, this.retriesLeft - 1));
+				}
 			}
 		}
 
@@ -432,9 +461,9 @@
 			at(CrashSimulation.this.nowMs + UPDATE_MS, this::update);
 		}
 
-		void receive(Set<String> traits) {
+		void receive(Set<String> traits, int retriesLeft) {
 			CrashSimulation.this.requestCount++;
-			new Request("r" + CrashSimulation.this.requestCount, this, traits).dispatch();
+			new Request("r" + CrashSimulation.this.requestCount, this, traits, retriesLeft).dispatch();
 		}
 
 		void onRefused(Engine engine) {
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/SharedCrashBlameTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/SharedCrashBlameTests.java
@@ -24,6 +24,9 @@
 	/** Number of crashes from which the cause must be known after a contact time. */
 	private static final int KNOWN_FROM_CRASHES = 5;
 
+	/** Number of crashes from which one request must be known in the same way. */
+	private static final int REQUEST_KNOWN_FROM_CRASHES = 3;
+
 	/** Sends that may still reach engines then. */
 	private static final int ALLOWED_ARRIVALS = 3;
 
@@ -41,6 +44,8 @@
 
 	private int partCount;
 
+	private int requestCount;
+
 	// Starts daemons whose callers send sound requests: of two kinds, on subjects of
 	// which
 	// some are asked for often.
@@ -52,7 +57,9 @@
 
 	private Set<String> soundTraits() {
 		double skewed = Math.pow(this.simulation.random().nextDouble(), 3);
-		return Set.of("kind" + this.simulation.random().nextInt(2), "subject" + (int) (skewed * 300));
+		this.requestCount++;
+		return Set.of("kind" + this.simulation.random().nextInt(2), "subject" + (int) (skewed * 300),
+				"model/request/" + this.requestCount);
 	}
 
 	// Returns the traits of a request that crashes its engine, with other parts than the
@@ -201,6 +208,20 @@
 		assertThat(this.simulation.mostConvictions()).isLessThanOrEqualTo(64);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "7, 700", "7, 2500", "7, 6000", "95, 700", "95, 2500", "390, 2500" })
+	void aRequestThatCrashedThreeEnginesReachesNoMoreEngines(int daemonCount, long intervalMs) {
+		start(daemonCount);
+		Set<String> repeated = Set.of("kind0", "subject1", "subject299", "model/request/bad");
+		this.simulation.setCrashes((traits) -> traits.contains("model/request/bad"));
+		this.simulation.repeatRequest(repeated, intervalMs, BAD_FROM_MS, LENGTH_MS);
+		this.simulation.play(LENGTH_MS);
+		List<Long> crashes = this.simulation.crashTimesMs();
+		long boundFromMs = crashes.get(REQUEST_KNOWN_FROM_CRASHES - 1) + CrashSimulation.CONTACT_MS;
+		assertThat(this.simulation.countArrivals(repeated::equals, boundFromMs)).isLessThanOrEqualTo(ALLOWED_ARRIVALS);
+		assertThat(this.simulation.countRefused((traits) -> !traits.equals(repeated), 0)).isZero();
+	}
+
 	@Tag("long")
 	@ParameterizedTest
 	@ValueSource(ints = { 7, 95 })
