Bound the answers that are remembered as told, and collect crashes once for a broken engine

Found on reading. And each request that broke off with an engine collected all crashes anew, some thousand map operations for each of dozens of requests at the same moment; the collection is used again for 20 ms.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashBlame.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashBlame.java
@@ -68,8 +68,8 @@
 	/** Sound traits that the other daemons have to be told of. */
 	private final Set<String> unsentAnswers = new HashSet<>();
 
-	/** Steady time in ns of the newest answer that all daemons know, by trait. */
-	private final Map<String, Long> toldAnswers = new HashMap<>();
+	/** The newest answers that all daemons know. */
+	private final SoundTraits told = new SoundTraits();
 
 	/** Convictions that the other daemons have not been told yet. */
 	private final Set<Set<String>> unsentConvictions = new HashSet<>();
@@ -175,7 +175,7 @@
 		notice.answered().forEach((trait, ageNanos) -> {
 			long atNanos = nowNanos - ageNanos;
 			this.sound.record(trait, atNanos);
-			this.toldAnswers.merge(trait, atNanos, (left, right) -> (left - right > 0) ? left : right);
+			this.told.record(trait, atNanos);
 			this.convictions.acquit(trait, atNanos);
 		});
 		notice.reports().forEach((report) -> addReport(report, nowNanos));
@@ -220,7 +220,6 @@
 		this.ledger.removeExpired(nowNanos);
 		this.convictions.removeExpired(nowNanos);
 		this.trials.values().removeIf((atNanos) -> nowNanos - atNanos > Conviction.TRIAL_NANOS);
-		this.toldAnswers.values().removeIf((atNanos) -> nowNanos - atNanos > SoundTraits.MEMORY_NANOS);
 		if (this.ledger.takeChanged(nowNanos)) {
 			tellOfTraitsAtRisk(nowNanos);
 			convict(nowNanos);
@@ -249,8 +248,8 @@
 	private void tellOfTraitsAtRisk(long nowNanos) {
 		for (String trait : this.ledger.traitsAtRisk(this.convictions.causes(), nowNanos)) {
 			OptionalLong answered = this.sound.lastAnswer(trait, nowNanos);
-			Long told = this.toldAnswers.get(trait);
-			if (answered.isPresent() && (told == null || answered.getAsLong() - told > ANSWER_RENEWAL_NANOS)) {
+			if (answered.isPresent()
+					&& !this.told.isSoundSince(trait, answered.getAsLong() - ANSWER_RENEWAL_NANOS, nowNanos)) {
 				this.unsentAnswers.add(trait);
 			}
 		}
@@ -262,7 +261,7 @@
 			OptionalLong last = this.sound.lastAnswer(trait, nowNanos);
 			if (last.isPresent() && answered.size() < MAX_ANSWERED) {
 				answered.put(trait, nowNanos - last.getAsLong());
-				this.toldAnswers.put(trait, last.getAsLong());
+				this.told.record(trait, last.getAsLong());
 			}
 		}
 		List<CrashReport> reports = this.unsentReports.stream().map((one) -> one.report(nowNanos)).toList();
@@ -272,7 +271,7 @@
 					OptionalLong last = this.sound.lastAnswer(trait, nowNanos);
 					if (last.isPresent() && answered.size() < MAX_ANSWERED) {
 						answered.put(trait, nowNanos - last.getAsLong());
-						this.toldAnswers.put(trait, last.getAsLong());
+						this.told.record(trait, last.getAsLong());
 					}
 				}
 			}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/blame/CrashLedger.java
@@ -73,10 +73,22 @@
 	 */
 	private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+	/**
+	 * Age up to which collected crashes are used again for the requests that break off
+	 * with one endpoint, in ns.
+	 */
+	private static final long COLLECTION_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
 	private final SoundTraits sound;
 
 	private final long startedNanos;
 
+	/** The crashes by trait as of {@link #collectedNanos}. */
+	private Map<String, List<Incident>> collected = Map.of();
+
+	/** Steady time in ns at which the crashes were collected last. */
+	private long collectedNanos;
+
 	/** Whether a report has arrived since the conclusions were drawn. */
 	private boolean changed;
 
@@ -94,6 +106,7 @@
 	CrashLedger(SoundTraits sound, long nowNanos) {
 		this.sound = sound;
 		this.startedNanos = nowNanos;
+		this.collectedNanos = nowNanos;
 	}
 
 	/**
@@ -257,7 +270,11 @@
 	 * @return whether it is suspected
 	 */
 	boolean isSuspected(Set<String> traits, Collection<Set<String>> convicted, long nowNanos) {
-		Map<String, List<Incident>> byTrait = collect(convicted, nowNanos);
+		if (nowNanos - this.collectedNanos > COLLECTION_AGE_NANOS) {
+			this.collected = collect(convicted, nowNanos);
+			this.collectedNanos = nowNanos;
+		}
+		Map<String, List<Incident>> byTrait = this.collected;
 		return traits.stream()
 			.filter((trait) -> byTrait.containsKey(trait) && this.sound.lastAnswer(trait, nowNanos).isEmpty())
 			.anyMatch((trait) -> isSuspected(trait, byTrait.get(trait)));
