--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -334,11 +334,18 @@
 		if (ready != this.lastReportedReady) {
 			this.lastReportedReady = ready;
 			EntryLog.write((ready) ? EntryEvent.READY : EntryEvent.NOT_READY, this.settings.name(), "callers",
-					this.router.callerCount());
+					this.router.callerCount(), "why", (ready) ? "none" : notReadyReason());
 		}
 		return ready;
 	}
 
+	private String notReadyReason() {
+		if (this.stopping) {
+			return "stopping";
+		}
+		return this.router.obstacle().orElse("registrations not read");
+	}
+
 	/**
 	 * Applies changed settings. The addresses, the name and the data centre stay as they
 	 * were at the start, because peers and the store identify the daemon by them.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -70,6 +70,9 @@
 	/** This daemon's part of an endpoint's limit has changed. */
 	ENDPOINT_LIMIT_PART(8206, Level.INFO),
 
+	/** A connection to an endpoint, needed for a request, could not be opened. */
+	CONNECT_FAILED(8207, Level.INFO),
+
 	/** A request ended, with or without a response. */
 	REQUEST_CLOSED(8301, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -126,7 +126,10 @@
 		STORE_WENT_BACK,
 
 		/** Requests refused because requests like them crash endpoints. */
-		REFUSED_AS_CRASHING
+		REFUSED_AS_CRASHING,
+
+		/** Connections to endpoints for requests that could not be opened. */
+		CONNECTS_FAILED
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -88,8 +88,8 @@
 	 */
 	private long headStartedNanos;
 
-	/** Whether no request has arrived on this connection yet. */
-	private boolean unused = true;
+	/** Number of requests that have arrived on this connection. */
+	private int requestCount;
 
 	CallerConnection(Router router) {
 		this.router = router;
@@ -168,7 +168,7 @@
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
 		}
-		this.unused = false;
+		this.requestCount++;
 		this.receivingRequest = new IncomingRequest(head, this.router.headers().readRequest(head).deadlineMs(),
 				System.nanoTime());
 	}
@@ -382,7 +382,7 @@
 	 */
 	void closeIfIdleAtStop(long nowNanos) {
 		long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastReadNanos);
-		if (!this.unused || silenceMs >= FIRST_REQUEST_WAIT_MS) {
+		if (this.requestCount > 0 || silenceMs >= FIRST_REQUEST_WAIT_MS) {
 			closeIfIdle();
 		}
 	}
@@ -396,6 +396,10 @@
 		}
 	}
 
+	int requestCount() {
+		return this.requestCount;
+	}
+
 	boolean isBusy() {
 		return this.exchange != null || this.receivingRequest != null || !this.queuedRequests.isEmpty();
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
@@ -1,6 +1,5 @@
 package org.comfreyslip.entry.http;
 
-import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.comfreyslip.entry.model.Endpoint;
@@ -86,16 +84,12 @@
 				if (connected.isSuccess()) {
 					connected.channel().close();
 				}
-				else if (isRefusal(connected.cause())) {
+				else if (ConnectFailure.of(connected.cause()) == ConnectFailure.REFUSED) {
 					this.onRefused.accept(endpoint, System.nanoTime());
 				}
 			});
 	}
 
-	private static boolean isRefusal(Throwable cause) {
-		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-	}
-
 	// Closes connections that are no longer needed, and reopens lost ones.
 	void updateConnections(long nowNanos) {
 		this.monitored.values().removeIf((target) -> {
@@ -127,7 +121,7 @@
 		}).connect(target.endpoint.address()).addListener((ChannelFuture connected) -> {
 			if (!connected.isSuccess() && target.channel == connected.channel()) {
 				target.channel = null;
-				if (isRefusal(connected.cause())) {
+				if (ConnectFailure.of(connected.cause()) == ConnectFailure.REFUSED) {
 					this.onRefused.accept(target.endpoint, System.nanoTime());
 				}
 			}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -47,11 +48,14 @@
 
 	private final HeaderTranslator headers;
 
+	private final BiConsumer<Endpoint, ConnectFailure> onConnectFailed;
+
 	/** Idle connections by pool key, the most recently used one last. */
 	private final Map<String, Deque<EndpointConnection>> idleConnections = new HashMap<>();
 
-	EndpointPool(EventLoop loop, HeaderTranslator headers) {
+	EndpointPool(EventLoop loop, HeaderTranslator headers, BiConsumer<Endpoint, ConnectFailure> onConnectFailed) {
 		this.headers = headers;
+		this.onConnectFailed = onConnectFailed;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -98,6 +102,7 @@
 		}).connect(endpoint.address()).addListener((future) -> {
 			if (!future.isSuccess()) {
 				request.release();
+				this.onConnectFailed.accept(endpoint, ConnectFailure.of(future.cause()));
 				created.onConnectFailed();
 			}
 			else if (created.isAssigned()) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -805,7 +805,8 @@
 	}
 
 	String describeSends() {
-		return "ms=" + ageMs() + " sends=" + this.sendCount + " endpoints=" + this.sentTo;
+		return "ms=" + ageMs() + " sends=" + this.sendCount + " endpoints=" + this.sentTo + " on_connection="
+				+ this.caller.requestCount();
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -205,7 +205,7 @@
 		this.engines = engines;
 		this.random = random;
 		this.loads = new LayerLoads(random);
-		this.pool = new EndpointPool(loop, headers);
+		this.pool = new EndpointPool(loop, headers, this::onConnectFailed);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
@@ -373,8 +373,19 @@
 	 * service has a path through all layers
 	 */
 	public boolean canServe() {
-		if (this.configuration == null || !areKeysFresh()) {
-			return false;
+		return obstacle().isEmpty();
+	}
+
+	/**
+	 * Returns why requests cannot be served.
+	 * @return the reason, for the log; empty if they can be served
+	 */
+	public Optional<String> obstacle() {
+		if (this.configuration == null) {
+			return Optional.of("no configuration");
+		}
+		if (!areKeysFresh()) {
+			return Optional.of("stale keys");
 		}
 		for (ServiceSpec service : this.configuration.services().values()) {
 			if (service.engine().isPresent()) {
@@ -383,11 +394,11 @@
 							(first) -> true, System.nanoTime())
 					.isPresent();
 				if (!hasPath) {
-					return false;
+					return Optional.of("no path of " + service.name());
 				}
 			}
 		}
-		return true;
+		return Optional.empty();
 	}
 
 	private boolean areKeysFresh() {
@@ -568,6 +579,11 @@
 		return usable;
 	}
 
+	private void onConnectFailed(Endpoint endpoint, ConnectFailure failure) {
+		this.metrics.increment(EntryMetrics.Count.CONNECTS_FAILED);
+		EntryLog.write(EntryEvent.CONNECT_FAILED, endpoint.id(), "why", failure, "address", endpoint.address());
+	}
+
 	// The endpoint's process has ended. Ends the sends of all streams through it that can
 	// continue on another path.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
