--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.comfreyslip.entry.config.ElapsedClock;
 import org.comfreyslip.entry.config.FeedReader;
 import org.comfreyslip.entry.config.KeyedFeed;
@@ -104,6 +105,8 @@
 
 	private Channel callerListener;
 
+	private Channel daemonListener;
+
 	private boolean lastReportedReady;
 
 	private long startedAtNanos;
@@ -130,8 +133,9 @@
 		this.peers = new PeerExchange(loop, settings.name(), settings.dataCentre(),
 				new InetSocketAddress(settings.host(), settings.firstPeerPort()), ports.peers(), this.clock::nanos,
 				this.configurationFeed, this.endpointFeed, this.router.loads(), this.router.slowdowns(),
-				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(),
-				this.router.crashBlame());
+				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(), this.router.crashBlame(),
+				this.router);
+		this.router.setRelayPeers(() -> this.peers.table().relayPeers(this.clock.nanos()));
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
@@ -160,14 +164,13 @@
 				this.exit.run();
 			}
 		});
+		ChannelFuture daemons = Listeners.bindDaemons(this.loop,
+				new InetSocketAddress(this.settings.host(), this.settings.firstPeerPort()), this.router);
+		this.daemonListener = daemons.channel();
+		daemons.addListener((bound) -> logIfNotBound(bound, "daemons"));
 		Listeners.bindReadiness(this.loop, this.settings.readinessAddress(), this::isReady);
 		Listeners.bindMetrics(this.loop, this.settings.metricsAddress(), this.router::metricsText)
-			.addListener((bound) -> {
-				if (!bound.isSuccess()) {
-					EntryLog.write(EntryEvent.TASK_FAILED, "metrics", "address", this.settings.metricsAddress(),
-							"cause", bound.cause());
-				}
-			});
+			.addListener((bound) -> logIfNotBound(bound, "metrics"));
 		this.configurationReader.start();
 		this.endpointReader.start();
 		renewLeadership();
@@ -182,6 +185,12 @@
 				"data_centre", this.settings.dataCentre());
 	}
 
+	private static void logIfNotBound(Future<?> bound, String listener) {
+		if (!bound.isSuccess()) {
+			EntryLog.write(EntryEvent.TASK_FAILED, listener, "cause", bound.cause());
+		}
+	}
+
 	private static Runnable loggingFailures(String name, Runnable task) {
 		return () -> {
 			try {
@@ -384,6 +393,7 @@
 			return;
 		}
 		this.callerListener.close();
+		this.daemonListener.close();
 		this.router.closeIdleCallers(System.nanoTime());
 		boolean idle = !this.router.hasOpenRequests() && this.router.callerCount() == 0;
 		if (idle || phase == ShutdownPhase.OVER) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -73,6 +73,20 @@
 	/** A connection to an endpoint, needed for a request, could not be opened. */
 	CONNECT_FAILED(8207, Level.INFO),
 
+	/** No trial connection to endpoints of a service opened; requests are passed on. */
+	SERVICE_LOST(8208, Level.WARNING),
+
+	/** Endpoints of a service are reached again. */
+	SERVICE_REACHED(8209, Level.INFO),
+
+	/**
+	 * The daemon leaves the rotation, since others serve its callers with less effort.
+	 */
+	ROTATION_LEFT(8009, Level.WARNING),
+
+	/** The daemon is in rotation again. */
+	ROTATION_REJOINED(8010, Level.INFO),
+
 	/** A request ended, with or without a response. */
 	REQUEST_CLOSED(8301, Level.INFO),
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -129,7 +129,19 @@
 		REFUSED_AS_CRASHING,
 
 		/** Connections to endpoints for requests that could not be opened. */
-		CONNECTS_FAILED
+		CONNECTS_FAILED,
+
+		/** Connections without a request that showed whether endpoints are reached. */
+		REACH_TRIALS,
+
+		/** Requests passed on to another daemon, each time counted. */
+		RELAYED,
+
+		/** Requests taken from other daemons. */
+		RELAYS_TAKEN,
+
+		/** Requests of other daemons that were declined. */
+		RELAYS_DECLINED
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -129,6 +129,14 @@
 		}
 	}
 
+	/**
+	 * Forgets that an endpoint was unreachable, since the cause was on the way to it.
+	 * @param id identity of the endpoint
+	 */
+	public void clearUnreachable(String id) {
+		this.faults.get(FaultKind.UNREACHABLE).remove(id);
+	}
+
 	/**
 	 * Tells whether an endpoint's process ended without having announced its exit, and
 	 * the endpoint has completed no request since.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -56,6 +57,8 @@
 
 	private final Router router;
 
+	private final boolean ofDaemon;
+
 	private final Deque<IncomingRequest> queuedRequests = new ArrayDeque<>();
 
 	private Channel channel;
@@ -91,8 +94,15 @@
 	/** Number of requests that have arrived on this connection. */
 	private int requestCount;
 
-	CallerConnection(Router router) {
+	/**
+	 * Creates a connection.
+	 * @param router serves the requests
+	 * @param ofDaemon whether it is the connection of another daemon, which passes
+	 * requests of its callers on
+	 */
+	CallerConnection(Router router, boolean ofDaemon) {
 		this.router = router;
+		this.ofDaemon = ofDaemon;
 	}
 
 	@Override
@@ -159,6 +169,15 @@
 			rejectAndClose(HttpResponseStatus.BAD_REQUEST, "a request needs one Host field and a path");
 			return;
 		}
+		Optional<RelayEnvelope> envelope = Optional.empty();
+		if (this.ofDaemon) {
+			envelope = RelayEnvelope.decode(head.headers().get(RelayEnvelope.FIELD));
+			head.headers().remove(RelayEnvelope.FIELD);
+			if (envelope.isEmpty()) {
+				rejectAndClose(HttpResponseStatus.BAD_REQUEST, "requests of callers use the other port");
+				return;
+			}
+		}
 		RequestLimits limits = this.router.limits();
 		if (HttpUtil.getContentLength(head, 0L) > limits.maxBodyBytes()) {
 			rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body exceeds the limit");
@@ -170,7 +189,7 @@
 		}
 		this.requestCount++;
 		this.receivingRequest = new IncomingRequest(head, this.router.headers().readRequest(head).deadlineMs(),
-				System.nanoTime());
+				System.nanoTime(), envelope);
 	}
 
 	private void onContent(HttpContent content) {
@@ -242,7 +261,7 @@
 	}
 
 	private void writeResponse(DefaultFullHttpResponse response) {
-		boolean close = this.closeAfterResponse || this.router.isStopping();
+		boolean close = closesAfterResponse();
 		HttpHeaders headers = response.headers();
 		if (!this.respondsToHead || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
@@ -257,6 +276,10 @@
 		}
 	}
 
+	private boolean closesAfterResponse() {
+		return this.closeAfterResponse || ((this.ofDaemon) ? this.router.isStopping() : this.router.closesCallers());
+	}
+
 	// Starts a streamed response. Adapts the given header fields to this connection.
 	void startStreamedResponse(HttpResponse head, HttpHeaders headers) {
 		DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers);
@@ -265,7 +288,7 @@
 		if (this.supportsChunked) {
 			headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
-		if (this.closeAfterResponse || this.router.isStopping()) {
+		if (closesAfterResponse()) {
 			this.closeAfterResponse = true;
 			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
@@ -413,14 +436,21 @@
 
 		private final long arrivalNanos;
 
+		private final Optional<RelayEnvelope> envelope;
+
 		private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
 		// The deadline is the time for which the caller waits, in ms; negative if it does
-		// not state one.
-		IncomingRequest(HttpRequest head, long deadlineMs, long arrivalNanos) {
+		// not state one. The envelope is present if another daemon passed the request on.
+		IncomingRequest(HttpRequest head, long deadlineMs, long arrivalNanos, Optional<RelayEnvelope> envelope) {
 			this.head = head;
 			this.deadlineMs = deadlineMs;
 			this.arrivalNanos = arrivalNanos;
+			this.envelope = envelope;
+		}
+
+		Optional<RelayEnvelope> envelope() {
+			return this.envelope;
 		}
 
 		HttpRequest head() {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
@@ -44,10 +44,13 @@
 
 	private final EndpointPool pool;
 
-	private final String poolKey;
+	private final ConnectionTarget target;
 
 	private Channel channel;
 
+	/** Steady time in ns at which the connection was opened. */
+	private long openedAtNanos;
+
 	/** Listener of the current send, or null if the connection carries none. */
 	private ResponseListener listener;
 
@@ -80,9 +83,9 @@
 	/** Steady time in ns at which the last response was complete. */
 	private long idleSinceNanos;
 
-	EndpointConnection(EndpointPool pool, String poolKey) {
+	EndpointConnection(EndpointPool pool, ConnectionTarget target) {
 		this.pool = pool;
-		this.poolKey = poolKey;
+		this.target = target;
 	}
 
 	@Override
@@ -90,6 +93,11 @@
 		this.channel = ctx.channel();
 	}
 
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		this.openedAtNanos = System.nanoTime();
+	}
+
 	// Assigns a request, which is written once the connection is open.
 	void assignRequest(ResponseListener newListener, String newAttemptId) {
 		this.listener = newListener;
@@ -111,7 +119,8 @@
 		return this.listener != null;
 	}
 
-	void onConnectFailed() {
+	void onConnectFailed(ConnectFailure failure) {
+		this.pool.observer().onConnectFailed(this.target, failure);
 		failSend(SendFailureCause.NOT_CONNECTED);
 	}
 
@@ -160,7 +169,7 @@
 			skipResponse();
 			return;
 		}
-		HeaderTranslator.ResponseFields fields = this.pool.headers().readResponse(head);
+		HeaderTranslator.ResponseFields fields = this.pool.readResponse(head);
 		boolean matchesRequest = fields.attemptId()
 			.map(this.attemptId::equals)
 			.orElse(this.awaitingFirstResponse && !fields.signed());
@@ -171,6 +180,7 @@
 			return;
 		}
 		this.headReceived = true;
+		this.pool.observer().onAnswer(this.target, this.openedAtNanos);
 		this.reusable &= fields.reusable();
 		if (fields.keepAliveMs() >= 0) {
 			this.idleTimeoutNanos = (long) (TimeUnit.MILLISECONDS.toNanos(fields.keepAliveMs()) * IDLE_TIMEOUT_SHARE);
@@ -226,7 +236,7 @@
 		this.responseComplete = false;
 		this.idleSinceNanos = System.nanoTime();
 		if (this.reusable && this.requestWritten && this.channel.isActive()) {
-			this.pool.release(this.poolKey, this);
+			this.pool.release(this.target.poolKey(), this);
 		}
 		else {
 			close();
@@ -257,13 +267,16 @@
 		ResponseListener failed = this.listener;
 		this.listener = null;
 		close();
+		if (failed != null && cause == SendFailureCause.CLOSED && this.awaitingFirstResponse && !this.headReceived) {
+			this.pool.observer().onClosedUnanswered(this.target);
+		}
 		if (failed != null) {
 			failed.onSendFailed(cause);
 		}
 	}
 
 	private void close() {
-		this.pool.remove(this.poolKey, this);
+		this.pool.remove(this.target.poolKey(), this);
 		if (this.channel != null) {
 			this.channel.close();
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointMonitor.java
@@ -106,6 +106,18 @@
 		}
 	}
 
+	// Ends the monitoring of the endpoints of a service that is out of reach. It begins
+	// again with the streams, so that not all connections are opened at the same moment.
+	void forget(String service) {
+		this.monitored.values().removeIf((target) -> {
+			boolean matches = target.endpoint.service().equals(service);
+			if (matches) {
+				target.close();
+			}
+			return matches;
+		});
+	}
+
 	private void connect(MonitoredEndpoint target, long nowNanos) {
 		target.lastConnectNanos = nowNanos;
 		target.channel = this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter() {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointPool.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Function;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -19,11 +19,11 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import org.comfreyslip.entry.model.Endpoint;
+import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Pool of connections to endpoints. Idle connections are reused only for the same
- * incarnation and address of an endpoint.
+ * Pool of connections to endpoints or to other daemons. Idle connections are reused only
+ * for the same incarnation and address.
  */
 final class EndpointPool {
 
@@ -46,16 +46,17 @@
 
 	private final Bootstrap bootstrap;
 
-	private final HeaderTranslator headers;
+	private final Function<HttpResponse, HeaderTranslator.ResponseFields> responseReader;
 
-	private final BiConsumer<Endpoint, ConnectFailure> onConnectFailed;
+	private final ConnectionObserver observer;
 
 	/** Idle connections by pool key, the most recently used one last. */
 	private final Map<String, Deque<EndpointConnection>> idleConnections = new HashMap<>();
 
-	EndpointPool(EventLoop loop, HeaderTranslator headers, BiConsumer<Endpoint, ConnectFailure> onConnectFailed) {
-		this.headers = headers;
-		this.onConnectFailed = onConnectFailed;
+	EndpointPool(EventLoop loop, Function<HttpResponse, HeaderTranslator.ResponseFields> responseReader,
+			ConnectionObserver observer) {
+		this.responseReader = responseReader;
+		this.observer = observer;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -69,13 +70,17 @@
 			.setHeadersFactory(DefaultHttpHeadersFactory.headersFactory().withValidation(false));
 	}
 
-	HeaderTranslator headers() {
-		return this.headers;
+	HeaderTranslator.ResponseFields readResponse(HttpResponse head) {
+		return this.responseReader.apply(head);
+	}
+
+	ConnectionObserver observer() {
+		return this.observer;
 	}
 
 	/**
 	 * Sends a request over an idle connection or a new one.
-	 * @param endpoint the endpoint that the request is sent to
+	 * @param target where the request is sent
 	 * @param request the request; its reference passes to the pool
 	 * @param attemptId identity of the attempt that the response must carry
 	 * @param nonIdempotent whether the request may run only once, so that only a recently
@@ -83,27 +88,25 @@
 	 * @param listener receives the events of this send
 	 * @return the connection that carries the request, by which it can be aborted
 	 */
-	EndpointConnection send(Endpoint endpoint, FullHttpRequest request, String attemptId, boolean nonIdempotent,
+	EndpointConnection send(ConnectionTarget target, FullHttpRequest request, String attemptId, boolean nonIdempotent,
 			ResponseListener listener) {
-		String poolKey = endpoint.id() + "/" + endpoint.incarnationStartMs() + "/" + endpoint.address();
-		EndpointConnection idle = takeIdle(poolKey, attemptId, nonIdempotent);
+		EndpointConnection idle = takeIdle(target.poolKey(), attemptId, nonIdempotent);
 		if (idle != null) {
 			idle.assignRequest(listener, attemptId);
 			idle.writeRequest(request);
 			return idle;
 		}
-		EndpointConnection created = new EndpointConnection(this, poolKey);
+		EndpointConnection created = new EndpointConnection(this, target);
 		created.assignRequest(listener, attemptId);
 		this.bootstrap.clone().handler(new ChannelInitializer<Channel>() {
 			@Override
 			protected void initChannel(Channel channel) {
 				channel.pipeline().addLast(new HttpClientCodec(decoderConfig(), false, false)).addLast(created);
 			}
-		}).connect(endpoint.address()).addListener((future) -> {
+		}).connect(target.address()).addListener((future) -> {
 			if (!future.isSuccess()) {
 				request.release();
-				this.onConnectFailed.accept(endpoint, ConnectFailure.of(future.cause()));
-				created.onConnectFailed();
+				created.onConnectFailed(ConnectFailure.of(future.cause()));
 			}
 			else if (created.isAssigned()) {
 				created.writeRequest(request);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.blame.RequestTraits;
 import org.comfreyslip.entry.blame.SuspectRequest;
 import org.comfreyslip.entry.layers.LayerPath;
@@ -27,6 +28,7 @@
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
 import org.comfreyslip.entry.model.SocketAddresses;
+import org.comfreyslip.entry.reach.RelayPeer;
 import org.comfreyslip.entry.stream.EventFramer;
 
 /**
@@ -56,6 +58,12 @@
 	 */
 	private static final long MIN_REMAINING_MS = 20;
 
+	/**
+	 * Time without progress after which a request is taken back from another daemon, in
+	 * ms: longer than the silence after which that daemon turns to another endpoint.
+	 */
+	private static final long DAEMON_SILENCE_MS = 1_200;
+
 	/** Weight of the newest gap in the moving average of the gaps between events. */
 	private static final double NEWEST_GAP_WEIGHT = 0.25;
 
@@ -88,9 +96,18 @@
 	/** Steady time in ns at which the request times out. */
 	private long deadlineNanos;
 
-	/** The endpoint of the current send, or null if no send is open. */
+	/** The endpoint of the current send, or null if it is to no endpoint. */
 	private Endpoint endpoint;
 
+	/** The daemon that the current send passes the request on to, or null. */
+	private RelayPeer peer;
+
+	/** Names of the daemons that the request was passed on to. */
+	private final Set<String> triedPeers = new HashSet<>();
+
+	/** Whether the request, of another daemon, counts against their number here. */
+	private boolean countedAsTaken;
+
 	/** The connection of the current send, or null if no send is open. */
 	private EndpointConnection connection;
 
@@ -167,6 +184,15 @@
 		this.caller = caller;
 		this.callerRequest = callerRequest;
 		this.requestFields = router.headers().readRequest(callerRequest.head());
+		callerRequest.envelope().ifPresent((envelope) -> {
+			this.mayHaveRun = envelope.mayHaveRun();
+			this.endpointsThatMayHaveRun.addAll(envelope.triedEndpoints());
+		});
+	}
+
+	// Tells whether another daemon passed the request on.
+	boolean isOfOtherDaemon() {
+		return this.callerRequest.envelope().isPresent();
 	}
 
 	String id() {
@@ -179,6 +205,12 @@
 
 	/** Admits the request and sends it to an endpoint, or responds with the refusal. */
 	void admitAndDispatch() {
+		Optional<String> declined = this.callerRequest.envelope().flatMap(this.router::declineReason);
+		if (declined.isPresent()) {
+			decline(declined.get());
+			return;
+		}
+		this.countedAsTaken = isOfOtherDaemon();
 		Router.Admission admission = this.router.admit(this.callerRequest, this.requestFields);
 		if (admission.refusal() != null) {
 			respond(admission.refusal(), Outcome.REFUSED, admission.reason());
@@ -216,6 +248,9 @@
 			refuseAsCrashing(crashRefusalMs.getAsLong());
 			return;
 		}
+		if (this.router.isLost(this.admitted.service()) && passOnOrDecline(now)) {
+			return;
+		}
 		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
 		Optional<Endpoint> target = chooseTarget(now);
 		if (target.isEmpty()) {
@@ -230,6 +265,44 @@
 		sendTo(target.get(), now);
 	}
 
+	// Returns whether the request is dealt with. If no daemon is known to reach the
+	// endpoints, it goes to one of them that has not failed lately.
+	private boolean passOnOrDecline(long now) {
+		if (isOfOtherDaemon()) {
+			boolean hasRunHere = this.endpointsThatMayHaveRun
+				.size() > this.callerRequest.envelope().get().triedEndpoints().size();
+			if (!this.streamStarted && !hasRunHere) {
+				decline("endpoints out of reach");
+				return true;
+			}
+			return false;
+		}
+		Optional<RelayPeer> chosen = choosePeer(now);
+		chosen.ifPresent((one) -> passOn(one, now));
+		if (chosen.isEmpty() && !this.triedPeers.isEmpty()) {
+			refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach", this.router.capacityRetryMs());
+			return true;
+		}
+		return chosen.isPresent();
+	}
+
+	// A request under which an endpoint has ended is not passed on, since it may be the
+	// cause.
+	private Optional<RelayPeer> choosePeer(long now) {
+		boolean endedEndpoint = this.endpointsThatMayHaveRun.stream().anyMatch(this.router::hasEndpointFailed);
+		return (isOfOtherDaemon() || endedEndpoint) ? Optional.empty()
+				: this.router.relays().choose(this.admitted.service(), this.triedPeers, now);
+	}
+
+	// Tells the daemon that passed the request on that it has not run here.
+	private void decline(String reason) {
+		this.router.recordRelay(EntryMetrics.Count.RELAYS_DECLINED);
+		DefaultFullHttpResponse response = OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, -1);
+		new RelayReply(RelayReply.Kind.DECLINED, id()).writeTo(response.headers());
+		finish(Outcome.REFUSED, "declined: " + reason);
+		this.caller.sendResponse(response);
+	}
+
 	private Optional<Endpoint> chooseTarget(long now) {
 		this.path = null;
 		if (this.admitted.engine().isEmpty()) {
@@ -278,6 +351,46 @@
 
 	private void sendTo(Endpoint target, long now) {
 		this.endpoint = target;
+		beginSend(now);
+		HttpHeaders headers = copyRequestHeaders();
+		this.router.headers()
+			.rewriteForEndpoint(headers,
+					new HeaderTranslator.ForwardedRequest(target,
+							this.admitted.account().map((account) -> account.name()), Math.max(1, remainingMs(now)),
+							Optional.ofNullable(this.path), resumeAfter(), this.admitted.priority()));
+		DefaultFullHttpRequest request = createRequest(headers);
+		if (this.path != null) {
+			this.router.recordPath(id(), this.path, now);
+			this.router.loads().reserve(this.path, this.reservedTokens);
+			this.router.monitorPath(this.path, now);
+		}
+		else {
+			this.router.plainSelector().recordDispatch(target.id());
+		}
+		this.sentTo.add(target.id());
+		this.router.onSend(target);
+		this.connection = this.router.pool()
+			.send(ConnectionTarget.of(target), request, id(), !this.admitted.route().mayRunAgain(), this);
+	}
+
+	// Passes the request on to another daemon, which decides about it as about one of its
+	// own callers.
+	private void passOn(RelayPeer target, long now) {
+		this.peer = target;
+		this.path = null;
+		this.triedPeers.add(target.name());
+		beginSend(now);
+		HttpHeaders headers = copyRequestHeaders();
+		this.router.headers().rewriteForDaemon(headers, Math.max(1, remainingMs(now)), resumeAfter());
+		headers.set(RelayEnvelope.FIELD,
+				RelayEnvelope.of(this.admitted.version(), this.mayHaveRun, this.endpointsThatMayHaveRun).encode());
+		this.sentTo.add("through:" + target.name());
+		this.router.recordRelay(EntryMetrics.Count.RELAYED);
+		this.connection = this.router.relays()
+			.send(target, createRequest(headers), id(), !this.admitted.route().mayRunAgain(), this);
+	}
+
+	private void beginSend(long now) {
 		this.sendCount++;
 		this.writeStarted = false;
 		this.responseHead = null;
@@ -285,50 +398,50 @@
 		this.sentAtNanos = now;
 		this.progress = new SendProgress(now);
 		this.lastProgressNanos = now;
-		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory()
+	}
+
+	private HttpHeaders copyRequestHeaders() {
+		return DefaultHttpHeadersFactory.headersFactory()
 			.withValidation(false)
 			.newHeaders()
 			.add(this.callerRequest.head().headers());
-		Optional<Long> resumeAfter = this.framer.lastEventId().or(this.requestFields::lastEventId);
-		this.router.headers()
-			.rewriteForEndpoint(headers,
-					new HeaderTranslator.ForwardedRequest(target,
-							this.admitted.account().map((account) -> account.name()), Math.max(1, remainingMs(now)),
-							Optional.ofNullable(this.path), resumeAfter, this.admitted.priority()));
+	}
+
+	private Optional<Long> resumeAfter() {
+		return this.framer.lastEventId().or(this.requestFields::lastEventId);
+	}
+
+	private DefaultFullHttpRequest createRequest(HttpHeaders headers) {
 		ByteBuf body = this.callerRequest.body().retainedDuplicate();
 		if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
 				|| this.callerRequest.head().headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
-		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-				this.callerRequest.head().method(), this.callerRequest.head().uri(), body, headers,
-				EmptyHttpHeaders.INSTANCE);
-		if (this.path != null) {
-			this.router.recordPath(id(), this.path, now);
-			this.router.loads().reserve(this.path, this.reservedTokens);
-			this.router.monitorPath(this.path, now);
-		}
-		else {
-			this.router.plainSelector().recordDispatch(target.id());
-		}
-		this.sentTo.add(target.id());
-		this.router.onSend(target);
-		this.connection = this.router.pool().send(target, request, id(), !this.admitted.route().mayRunAgain(), this);
+		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.callerRequest.head().method(),
+				this.callerRequest.head().uri(), body, headers, EmptyHttpHeaders.INSTANCE);
+	}
+
+	private boolean isSending() {
+		return this.endpoint != null || this.peer != null;
 	}
 
 	// Ends the current send, if there is one, and releases its reservations. The time
 	// that it took is in ms; negative if it does not count as a response time.
 	private void endSend(double tookMs) {
-		if (this.endpoint == null) {
+		if (!isSending()) {
 			return;
 		}
-		if (this.path != null) {
+		if (this.peer != null) {
+			this.router.relays().onEnded(this.peer);
+		}
+		else if (this.path != null) {
 			this.router.loads().release(this.path, this.reservedTokens);
 		}
 		else {
 			this.router.plainSelector().recordCompletion(this.endpoint.id(), tookMs);
 		}
 		this.endpoint = null;
+		this.peer = null;
 		this.connection = null;
 		this.router.releaseResponse(this.responseBody.readableBytes());
 		this.responseBody = Unpooled.EMPTY_BUFFER;
@@ -344,14 +457,21 @@
 		this.responseHead = head;
 		this.responseFields = fields;
 		this.progress.onHead();
-		this.router.onResponseHead(this.endpoint, fields, this.sentAtNanos, System.nanoTime());
-		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded();
+		if (this.endpoint != null) {
+			this.router.onResponseHead(this.endpoint, fields, this.sentAtNanos, System.nanoTime());
+		}
+		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded()
+				&& (this.peer == null || repliesFor(head, RelayReply.Kind.ENDPOINT));
 		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
 		if (this.relayingStream) {
 			this.lastProgressNanos = System.nanoTime();
 		}
 	}
 
+	private static boolean repliesFor(HttpResponse head, RelayReply.Kind kind) {
+		return RelayReply.readFrom(head.headers()).filter((reply) -> reply.kind() == kind).isPresent();
+	}
+
 	@Override
 	public void onResponseContent(ByteBuf content) {
 		if (!this.relayingStream) {
@@ -380,12 +500,15 @@
 		if (!this.proven && this.progress.isProven(now)) {
 			recordProven(now);
 		}
+		if (this.endpoint != null) {
+			this.router.onContact(this.admitted.service(), now);
+		}
 		double gapMs = (now - this.lastProgressNanos) / 1e6;
 		this.lastProgressNanos = now;
 		this.probeIntervalMs = Router.PROBE_INTERVAL_MS;
 		if (this.streamStarted) {
 			this.meanEventGapMs += NEWEST_GAP_WEIGHT * (gapMs - this.meanEventGapMs);
-			if (this.meanEventGapMs > this.router.slowEventGapMs(this.admitted.route())) {
+			if (this.path != null && this.meanEventGapMs > this.router.slowEventGapMs(this.admitted.route())) {
 				this.router.probeSlowStream(this.path, now);
 			}
 		}
@@ -423,6 +546,12 @@
 			.newHeaders()
 			.add(this.responseHead.headers());
 		this.router.headers().rewriteForCaller(headers);
+		if (isOfOtherDaemon()) {
+			new RelayReply(RelayReply.Kind.ENDPOINT, id()).writeTo(headers);
+		}
+		else {
+			headers.remove(RelayEnvelope.FIELD);
+		}
 		return headers;
 	}
 
@@ -465,7 +594,9 @@
 		if (this.progress.hasBegun()) {
 			recordProven(now);
 		}
-		this.router.faults().recordResponse(this.endpoint.id(), false, now);
+		if (this.endpoint != null) {
+			this.router.faults().recordResponse(this.endpoint.id(), false, now);
+		}
 		path().ifPresent((used) -> used.stages()
 			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
 		startStreamIfNeeded();
@@ -476,6 +607,10 @@
 	private void onPlainResponseComplete() {
 		int status = this.responseHead.status().code();
 		long now = System.nanoTime();
+		if (this.peer != null) {
+			onDaemonResponse(now);
+			return;
+		}
 		if (this.responseFields.notExecuted() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
 			onNotExecuted(status, now);
 			return;
@@ -501,14 +636,40 @@
 			suspend();
 			return;
 		}
+		relayPlainResponse(Outcome.SERVED, now);
+	}
+
+	private void relayPlainResponse(Outcome outcome, long now) {
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.responseHead.status(),
 				this.responseBody, relayedHeaders(), EmptyHttpHeaders.INSTANCE);
 		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
 		endSend((now - this.sentAtNanos) / 1e6);
-		finish(Outcome.SERVED, "status " + status);
+		finish(outcome, "status " + response.status().code());
 		this.caller.sendResponse(response);
 	}
 
+	// A response of another daemon is final, unless it has not taken the request.
+	private void onDaemonResponse(long now) {
+		if (repliesFor(this.responseHead, RelayReply.Kind.DECLINED)) {
+			this.router.relays().onNotTaken(this.peer, this.admitted.service(), now);
+			endSend(-1);
+			dispatch();
+			return;
+		}
+		boolean ofEndpoint = repliesFor(this.responseHead, RelayReply.Kind.ENDPOINT);
+		boolean genuine = ofEndpoint == this.responseFields.signed() && !this.responseFields.contentEncoded();
+		if (!genuine || !(ofEndpoint || repliesFor(this.responseHead, RelayReply.Kind.DAEMON))) {
+			onSendFailed(SendFailureCause.GARBLED);
+			return;
+		}
+		if (this.streamStarted) {
+			endSend(-1);
+			suspend();
+			return;
+		}
+		relayPlainResponse((ofEndpoint) ? Outcome.SERVED : Outcome.ofOwnStatus(this.responseHead.status().code()), now);
+	}
+
 	private void onNotExecuted(int status, long now) {
 		String faultyAddress = this.responseFields.faultAddress().orElse(SocketAddresses.text(this.endpoint.address()));
 		boolean causedByOther = this.router.recordEndpointRefusal(this.endpoint, faultyAddress, status, now);
@@ -559,6 +720,10 @@
 			return;
 		}
 		long now = System.nanoTime();
+		if (this.peer != null) {
+			onRelayFailed(cause, now);
+			return;
+		}
 		String endpointId = this.endpoint.id();
 		this.router.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
 				this.requestFields.sharedPromptParts(), this.digest);
@@ -603,6 +768,47 @@
 		failRequest("endpoint " + endpointId + " broke off: " + cause);
 	}
 
+	// The connection to another daemon failed. If it had the request, an endpoint may
+	// have
+	// run it.
+	private void onRelayFailed(SendFailureCause cause, long now) {
+		String name = this.peer.name();
+		this.router.relays().onNotTaken(this.peer, this.admitted.service(), now);
+		if (cause == SendFailureCause.NOT_CONNECTED) {
+			endSend(-1);
+			dispatch();
+			return;
+		}
+		this.mayHaveRun = true;
+		this.framer.dropPartialEvent();
+		this.endpointsThatMayHaveRun.add("through:" + name);
+		boolean mayRunAgain = this.admitted.route().mayRunAgain() && (hasAttemptsLeft() || this.streamStarted)
+				&& this.sendCount < maxSends();
+		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
+			this.router.recordMove(id(), name, cause.name());
+			endSend(-1);
+			dispatch();
+			return;
+		}
+		endSend(-1);
+		if (mayRunAgain && this.streamStarted) {
+			suspend();
+			return;
+		}
+		failRequest("daemon " + name + " broke off: " + cause);
+	}
+
+	// No endpoint of the service can be reached. Passes the request on if it has not been
+	// written to one.
+	void onServiceLost(String service) {
+		boolean unsent = this.endpoint != null && this.connection != null && !this.writeStarted;
+		if (!this.finished && unsent && this.admitted.service().equals(service)) {
+			this.connection.abort();
+			endSend(-1);
+			dispatch();
+		}
+	}
+
 	// Tells whether an endpoint that may have run the request before the current one has
 	// ended since.
 	private boolean hasEndedAnotherEndpoint() {
@@ -628,8 +834,14 @@
 	// Tells whether another endpoint or path can take the request. Records that the
 	// current endpoint may have run it.
 	private boolean hasAlternative(SendFailureCause cause, long now) {
+		if (this.peer != null) {
+			return choosePeer(now).isPresent();
+		}
 		String current = this.endpoint.id();
 		this.endpointsThatMayHaveRun.add(current);
+		if (this.router.isLost(this.admitted.service()) && choosePeer(now).isPresent()) {
+			return true;
+		}
 		if (this.path == null) {
 			Set<String> used = new HashSet<>(this.excludedEndpoints);
 			used.add(current);
@@ -647,6 +859,7 @@
 		this.suspended = true;
 		this.lastResumeAttemptNanos = System.nanoTime();
 		this.excludedEndpoints.clear();
+		this.triedPeers.clear();
 	}
 
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
@@ -657,7 +870,18 @@
 			refuseAsCrashing(crashRefusalMs.getAsLong());
 			return;
 		}
-		Optional<Endpoint> target = (this.router.mayStillSend(this.admitted)) ? chooseTarget(now) : Optional.empty();
+		if (!this.router.mayStillSend(this.admitted)) {
+			return;
+		}
+		Optional<RelayPeer> other = choosePeer(now);
+		if (other.isPresent()) {
+			if (this.router.tryTakeRetry(this.admitted.service(), now)) {
+				this.suspended = false;
+				passOn(other.get(), now);
+			}
+			return;
+		}
+		Optional<Endpoint> target = chooseTarget(now);
 		if (target.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
 			sendTo(target.get(), now);
@@ -723,6 +947,9 @@
 	}
 
 	private void respond(DefaultFullHttpResponse response, Outcome outcome, String reason) {
+		if (isOfOtherDaemon()) {
+			new RelayReply(RelayReply.Kind.DAEMON, id()).writeTo(response.headers());
+		}
 		finish(outcome, reason);
 		this.caller.sendResponse(response);
 	}
@@ -733,6 +960,9 @@
 		}
 		endSend(-1);
 		this.finished = true;
+		if (this.countedAsTaken) {
+			this.router.relays().release();
+		}
 		this.callerRequest.release(this.router);
 		this.router.onRequestClosed(this, outcome, reason);
 	}
@@ -751,7 +981,7 @@
 	// Checks the deadline, resumes a suspended stream, and acts on silent endpoints.
 	// Called periodically.
 	void checkTimeouts(long nowNanos) {
-		if (this.finished || (this.endpoint == null && !this.suspended)) {
+		if (this.finished || (!isSending() && !this.suspended)) {
 			return;
 		}
 		if (remainingMs(nowNanos) <= 0) {
@@ -767,6 +997,16 @@
 		}
 		long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastProgressNanos);
 		Route route = this.admitted.route();
+		if (this.peer != null) {
+			if (silenceMs >= DAEMON_SILENCE_MS) {
+				abandonSend(SendFailureCause.SILENT);
+			}
+			return;
+		}
+		this.router.checkProgress(this.admitted.service(), silenceMs, !this.writeStarted, nowNanos);
+		if (this.finished || this.endpoint == null) {
+			return;
+		}
 		if (this.path != null) {
 			probeSilentStream(nowNanos, silenceMs, route);
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HeaderTranslator.java
@@ -35,6 +35,17 @@
 	 */
 	void rewriteForEndpoint(HttpHeaders headers, ForwardedRequest forwarded);
 
+	/**
+	 * Turns the header fields of a caller's request into those for another daemon, which
+	 * treats it as a caller's request: removes fields that concern one connection and
+	 * sets what has changed since.
+	 * @param headers a copy of the caller's fields, which is modified
+	 * @param remainingMs time until the deadline, in ms
+	 * @param lastEventId identity of the last event that the caller has; empty at the
+	 * start of a stream
+	 */
+	void rewriteForDaemon(HttpHeaders headers, long remainingMs, Optional<Long> lastEventId);
+
 	/**
 	 * Reads the header fields of an endpoint's response.
 	 * @param head the response head
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Listeners.java
@@ -60,14 +60,31 @@
 	 * @return the future of the bind
 	 */
 	public static ChannelFuture bindCallers(EventLoop loop, InetSocketAddress address, Router router) {
+		return bindRequests(loop, address, router, false);
+	}
+
+	/**
+	 * Listens for other daemons that pass requests of their callers on.
+	 * @param loop the event loop
+	 * @param address where to listen
+	 * @param router serves the requests
+	 * @return the future of the bind
+	 */
+	public static ChannelFuture bindDaemons(EventLoop loop, InetSocketAddress address, Router router) {
+		return bindRequests(loop, address, router, true);
+	}
+
+	private static ChannelFuture bindRequests(EventLoop loop, InetSocketAddress address, Router router,
+			boolean ofDaemons) {
+		int extraHeaderBytes = (ofDaemons) ? RelayEnvelope.MAX_BYTES : 0;
 		return bootstrap(loop).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_LIMITS)
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					CallerConnection connection = new CallerConnection(router);
+					CallerConnection connection = new CallerConnection(router, ofDaemons);
 					channel.pipeline()
 						.addLast(new ReadNotifier(connection))
-						.addLast(new StrictRequestDecoder(router.limits().maxHeaderBytes()))
+						.addLast(new StrictRequestDecoder(router.limits().maxHeaderBytes() + extraHeaderBytes))
 						.addLast(new HttpResponseEncoder())
 						.addLast(connection);
 				}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Outcome.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Outcome.java
@@ -31,6 +31,15 @@
 		this.count = count;
 	}
 
+	// Returns the outcome that the status of a daemon's own response stands for.
+	static Outcome ofOwnStatus(int status) {
+		return switch (status) {
+			case 502, 500 -> FAILED;
+			case 504 -> TIMED_OUT;
+			default -> REFUSED;
+		};
+	}
+
 	EntryMetrics.Count count() {
 		return this.count;
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -42,6 +43,8 @@
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.ServiceSpec;
 import org.comfreyslip.entry.model.SocketAddresses;
+import org.comfreyslip.entry.reach.OwnReach;
+import org.comfreyslip.entry.reach.RelayPeer;
 import org.comfreyslip.entry.retry.RetryBudget;
 import org.comfreyslip.entry.route.RouteTable;
 
@@ -49,7 +52,7 @@
  * State that all requests share: the configuration in force, the endpoints, the loads and
  * the retry budget. Admits requests, chooses endpoints for them and probes endpoints.
  */
-public final class Router {
+public final class Router implements ReachMonitor.Listener, OwnReach {
 
 	/**
 	 * Time after which a caller may retry when the API keys are stale, in ms: about the
@@ -122,6 +125,18 @@
 	 */
 	private static final long DEFAULT_GAP_LIMIT_MS = 300;
 
+	/**
+	 * Time without an established connection after which the way to the endpoints is
+	 * checked, in ms: many round trips.
+	 */
+	private static final long SLOW_CONNECT_MS = 80;
+
+	/**
+	 * Time without a byte from any endpoint of a service after which the way to them is
+	 * checked, in ms.
+	 */
+	private static final long SILENCE_MS = 300;
+
 	/** Largest number of parts of a prompt in a log line. */
 	private static final int MAX_LOGGED_PARTS = 8;
 
@@ -131,6 +146,10 @@
 
 	private final EndpointPool pool;
 
+	private final ReachMonitor reachMonitor;
+
+	private final PeerRelays relays;
+
 	private final ElapsedClock clock;
 
 	private final EndpointDirectory directory;
@@ -205,7 +224,9 @@
 		this.engines = engines;
 		this.random = random;
 		this.loads = new LayerLoads(random);
-		this.pool = new EndpointPool(loop, headers, this::onConnectFailed);
+		this.reachMonitor = new ReachMonitor(loop, directory, random, this);
+		this.pool = new EndpointPool(loop, (head) -> headers.readResponse(head), this.reachMonitor);
+		this.relays = new PeerRelays(loop, headers, settings.dataCentre(), this.reachMonitor.reach(), random);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
@@ -293,6 +314,18 @@
 		return this.retryBudget;
 	}
 
+	/**
+	 * Sets where the other daemons are found that requests can be passed on to.
+	 * @param source returns the daemons that are alive
+	 */
+	public void setRelayPeers(Supplier<List<RelayPeer>> source) {
+		this.relays.setPeers(source);
+	}
+
+	PeerRelays relays() {
+		return this.relays;
+	}
+
 	HeaderTranslator headers() {
 		return this.headers;
 	}
@@ -313,6 +346,89 @@
 		return this.stopping;
 	}
 
+	// Tells whether callers are asked to open a new connection for their next request.
+	boolean closesCallers() {
+		return this.stopping || this.relays.isOutOfRotation();
+	}
+
+	@Override
+	public List<String> lostServices() {
+		return this.reachMonitor.reach().lostServices();
+	}
+
+	@Override
+	public boolean takesRelays() {
+		return this.acceptingRequests && !this.stopping;
+	}
+
+	@Override
+	public boolean isFaultCertain(String endpointId) {
+		return this.directory.findUsable(endpointId)
+			.map((endpoint) -> this.reachMonitor.reach().isReliable(endpoint.service()))
+			.orElse(true);
+	}
+
+	boolean isLost(String service) {
+		return this.reachMonitor.reach().isLost(service);
+	}
+
+	long configurationVersion() {
+		return configuration().map(Configuration::version).orElse(-1L);
+	}
+
+	@Override
+	public void onConnectFailed() {
+		this.metrics.increment(EntryMetrics.Count.CONNECTS_FAILED);
+	}
+
+	@Override
+	public void onTrial() {
+		this.metrics.increment(EntryMetrics.Count.REACH_TRIALS);
+	}
+
+	// Requests that have not been written to an endpoint yet are passed on at once.
+	@Override
+	public void onLost(String service, long nowNanos) {
+		this.monitor.forget(service);
+		this.relays.update(nowNanos);
+		for (Exchange exchange : new ArrayList<>(this.openExchanges)) {
+			exchange.onServiceLost(service);
+		}
+	}
+
+	@Override
+	public void onReachedAgain(String service, long nowNanos) {
+		this.directory.usableEndpoints(service).forEach((endpoint) -> this.faults.clearUnreachable(endpoint.id()));
+		this.relays.update(nowNanos);
+	}
+
+	// Acts on signs that a send to an endpoint makes no progress: trials show whether it
+	// is the endpoint or the way to it.
+	void checkProgress(String service, long silenceMs, boolean connecting, long nowNanos) {
+		boolean slowConnect = connecting && silenceMs >= SLOW_CONNECT_MS;
+		boolean silent = !connecting && silenceMs >= SILENCE_MS && this.reachMonitor.reach()
+			.silenceNanos(service, nowNanos) >= TimeUnit.MILLISECONDS.toNanos(SILENCE_MS);
+		if (slowConnect || silent) {
+			this.reachMonitor.doubt(service, nowNanos);
+		}
+	}
+
+	void onContact(String service, long nowNanos) {
+		this.reachMonitor.reach().onContact(service, nowNanos);
+	}
+
+	// Tells why a request of another daemon is not taken here; empty if it is.
+	Optional<String> declineReason(RelayEnvelope envelope) {
+		if (configurationVersion() < envelope.configurationVersion()) {
+			return Optional.of("older configuration");
+		}
+		return (this.relays.tryTake()) ? Optional.empty() : Optional.of("too many requests of other daemons");
+	}
+
+	void recordRelay(EntryMetrics.Count count) {
+		this.metrics.increment(count);
+	}
+
 	/**
 	 * Applies the settings that may change while the daemon runs: the freshness of keys
 	 * and the retry budget.
@@ -369,8 +485,9 @@
 
 	/**
 	 * Tells whether requests can be served.
-	 * @return whether a configuration is in force, the API keys are fresh and each model
-	 * service has a path through all layers
+	 * @return whether a configuration is in force, the API keys are fresh, each model
+	 * service has a path through all layers or is reached through other daemons, and
+	 * these do not serve callers with less effort
 	 */
 	public boolean canServe() {
 		return obstacle().isEmpty();
@@ -387,8 +504,12 @@
 		if (!areKeysFresh()) {
 			return Optional.of("stale keys");
 		}
+		if (this.relays.isOutOfRotation()) {
+			return Optional.of("endpoints out of reach");
+		}
 		for (ServiceSpec service : this.configuration.services().values()) {
-			if (service.engine().isPresent()) {
+			boolean passedOn = isLost(service.name()) && this.relays.canPassOn(service.name(), System.nanoTime());
+			if (service.engine().isPresent() && !passedOn) {
 				boolean hasPath = new PathFinder(service.engine().get(), new LayerLoads(this.random), this.slowdowns)
 					.find(usableEngines(service.name(), System.nanoTime()), this.settings.dataCentre(), 1,
 							(first) -> true, System.nanoTime())
@@ -502,10 +623,13 @@
 		return admitted.account().isEmpty() || areKeysFresh();
 	}
 
+	// While no endpoint is reached, those that failed just now are not tried again.
 	Optional<Endpoint> choosePlainEndpoint(String service, Collection<String> excluded, long nowNanos) {
+		boolean lost = isLost(service);
 		List<Endpoint> candidates = this.directory.usableEndpoints(service)
 			.stream()
 			.filter((endpoint) -> this.endpointLimits.maySend(endpoint, nowNanos))
+			.filter((endpoint) -> !lost || !this.faults.isAvoided(endpoint.id(), nowNanos))
 			.toList();
 		return this.plainSelector.choose(candidates, excluded, this.settings.dataCentre(), nowNanos);
 	}
@@ -579,14 +703,10 @@
 		return usable;
 	}
 
-	private void onConnectFailed(Endpoint endpoint, ConnectFailure failure) {
-		this.metrics.increment(EntryMetrics.Count.CONNECTS_FAILED);
-		EntryLog.write(EntryEvent.CONNECT_FAILED, endpoint.id(), "why", failure, "address", endpoint.address());
-	}
-
 	// The endpoint's process has ended. Ends the sends of all streams through it that can
 	// continue on another path.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
+		this.reachMonitor.doubt(endpoint.service(), nowNanos);
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
 		boolean leaving = this.directory.findUsable(endpoint.id()).isEmpty();
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
@@ -655,7 +775,10 @@
 	void onRequestOpened(Exchange exchange, AdmittedRequest admitted) {
 		this.openExchanges.add(exchange);
 		this.metrics.increment(EntryMetrics.Count.REQUESTS);
-		this.retryBudget.recordRequest(admitted.service(), System.nanoTime());
+		// The daemon that passed a request on has counted it for the budget.
+		if (!exchange.isOfOtherDaemon()) {
+			this.retryBudget.recordRequest(admitted.service(), System.nanoTime());
+		}
 	}
 
 	void onRequestClosed(Exchange exchange, Outcome outcome, String reason) {
@@ -789,6 +912,7 @@
 	 * @param nowNanos the current steady time in ns
 	 */
 	public void checkRequests(long nowNanos) {
+		this.reachMonitor.update(nowNanos);
 		for (Exchange exchange : new ArrayList<>(this.openExchanges)) {
 			exchange.checkTimeouts(nowNanos);
 		}
@@ -804,6 +928,7 @@
 			caller.checkTimeouts(nowNanos);
 		}
 		this.pool.closeExpired(nowNanos);
+		this.relays.update(nowNanos);
 		this.monitor.updateConnections(nowNanos);
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -1,7 +1,6 @@
 package org.comfreyslip.entry.peer;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -24,6 +23,7 @@
 import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
+import org.comfreyslip.entry.reach.OwnReach;
 import org.comfreyslip.entry.retry.RetryBudget;
 
 /**
@@ -76,6 +76,8 @@
 
 	private final CrashBlame blame;
 
+	private final OwnReach reach;
+
 	private final CrashNoticeSender crashNotices;
 
 	private final PeerTable table;
@@ -121,11 +123,12 @@
 	 * @param limits limits that endpoints stated; sent and received
 	 * @param budget retry budget that the daemons share
 	 * @param blame causes of crashes; sent and received
+	 * @param reach what this daemon reaches; sent
 	 */
 	public PeerExchange(EventLoop loop, String name, String dataCentre, InetSocketAddress address,
 			PeerRegistry registry, LongSupplier elapsedNanos, KeyedFeed configurationFeed, KeyedFeed registrationsFeed,
 			LayerLoads loads, EngineSlowdowns slowdownFactors, EndpointFaults faults, EndpointLimits limits,
-			RetryBudget budget, CrashBlame blame) {
+			RetryBudget budget, CrashBlame blame, OwnReach reach) {
 		this.loop = loop;
 		this.name = name;
 		this.dataCentre = dataCentre;
@@ -140,6 +143,7 @@
 		this.limits = limits;
 		this.budget = budget;
 		this.blame = blame;
+		this.reach = reach;
 		this.crashNotices = new CrashNoticeSender(blame, new SplittableRandom(), System.nanoTime());
 		this.table = new PeerTable(dataCentre);
 	}
@@ -290,7 +294,10 @@
 		boolean storeReachable = !this.stopping && !this.configurationFeed.isStoreUnavailable()
 				&& !this.registrationsFeed.isStoreUnavailable();
 		updateStoreReading(storeReachable, now);
-		List<String> unreachable = new ArrayList<>(this.faults.locallyObservedFaults(System.nanoTime()));
+		List<String> unreachable = this.faults.locallyObservedFaults(System.nanoTime())
+			.stream()
+			.filter(this.reach::isFaultCertain)
+			.toList();
 		boolean includeRemote = now - this.nextRemoteRoundNanos >= 0;
 		if (includeRemote) {
 			this.loads.markReported();
@@ -301,7 +308,7 @@
 				this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
 				this.limits.ownStatements(System.nanoTime()),
 				this.registrationsFeed.position(REGISTRATION_INTERVALS.currentNanos(this.storeReading), now),
-				storeReachable)
+				storeReachable, !this.stopping && this.reach.takesRelays(), this.reach.lostServices())
 			.encode();
 		for (PeerTable.Target target : targets) {
 			if (includeRemote || target.dataCentre().equals(this.dataCentre)) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -43,11 +43,14 @@
  * @param registrations how far the sender has read the registrations
  * @param storeReachable whether the sender's last read of the store succeeded and it may
  * read for others
+ * @param takesRelays whether the sender takes requests of other daemons
+ * @param lostServices names of the services whose endpoints the sender does not reach;
+ * may be empty
  */
 public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos,
 		TopicPosition configuration, Map<String, Load> loads, Map<String, Double> slowdownFactors,
 		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits, TopicPosition registrations,
-		boolean storeReachable) {
+		boolean storeReachable, boolean takesRelays, List<String> lostServices) {
 
 	/** Version of the binary format; datagrams of another version are ignored. */
 	private static final int FORMAT_VERSION = 1;
@@ -97,10 +100,7 @@
 				out.writeUTF(entry.getKey());
 				out.writeDouble(entry.getValue());
 			}
-			out.writeShort(this.unreachableEndpoints.size());
-			for (String id : this.unreachableEndpoints) {
-				out.writeUTF(id);
-			}
+			writeNames(out, this.unreachableEndpoints);
 			out.writeShort(this.limits.size());
 			for (Map.Entry<String, EndpointLimits.Statement> entry : this.limits.entrySet()) {
 				out.writeUTF(entry.getKey());
@@ -112,6 +112,8 @@
 			out.writeLong(this.registrations.ageNanos());
 			out.writeLong(this.registrations.era());
 			out.writeBoolean(this.storeReachable);
+			out.writeBoolean(this.takesRelays);
+			writeNames(out, this.lostServices);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot encode a message to another daemon", ex);
@@ -119,6 +121,13 @@
 		return bytes.toByteArray();
 	}
 
+	private static void writeNames(DataOutputStream out, List<String> names) throws IOException {
+		out.writeShort(names.size());
+		for (String name : names) {
+			out.writeUTF(name);
+		}
+	}
+
 	/**
 	 * Sets the echo of an encoded message, so that a message to many daemons, which
 	 * differs only in the echo, is encoded once.
@@ -157,16 +166,16 @@
 			for (int left = in.readUnsignedShort(); left > 0; left--) {
 				slowdownFactors.put(in.readUTF(), in.readDouble());
 			}
-			List<String> unreachableEndpoints = new ArrayList<>();
-			for (int left = in.readUnsignedShort(); left > 0; left--) {
-				unreachableEndpoints.add(in.readUTF());
-			}
+			List<String> unreachableEndpoints = readNames(in);
 			Map<String, EndpointLimits.Statement> limits = readLimits(in);
 			TopicPosition configuration = new TopicPosition(offset, age, (in.available() > 0) ? in.readLong() : -1);
 			TopicPosition registrations = (in.available() > 0)
 					? new TopicPosition(in.readLong(), in.readLong(), in.readLong()) : TopicPosition.UNKNOWN;
+			boolean storeReachable = in.available() > 0 && in.readBoolean();
+			boolean takesRelays = in.available() > 0 && in.readBoolean();
+			List<String> lostServices = (in.available() > 0) ? readNames(in) : List.of();
 			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, configuration, loads, slowdownFactors,
-					unreachableEndpoints, limits, registrations, in.available() > 0 && in.readBoolean()));
+					unreachableEndpoints, limits, registrations, storeReachable, takesRelays, lostServices));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port, so bytes that are not a message are no
@@ -175,6 +184,14 @@
 		}
 	}
 
+	private static List<String> readNames(DataInputStream in) throws IOException {
+		List<String> names = new ArrayList<>();
+		for (int left = in.readUnsignedShort(); left > 0; left--) {
+			names.add(in.readUTF());
+		}
+		return names;
+	}
+
 	private static Map<String, EndpointLimits.Statement> readLimits(DataInputStream in) throws IOException {
 		Map<String, EndpointLimits.Statement> limits = new HashMap<>();
 		if (in.available() == 0) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -9,6 +9,7 @@
 
 import org.comfreyslip.entry.layers.LayerLoads.Load;
 import org.comfreyslip.entry.layers.LayerLoads.PeerLoads;
+import org.comfreyslip.entry.reach.RelayPeer;
 
 /**
  * The other daemons, with their addresses and the last message received from each.
@@ -97,6 +98,21 @@
 		return live;
 	}
 
+	/**
+	 * Returns the daemons that sent a message recently, as ways for requests.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return the daemons, without this one, as of their last messages
+	 */
+	public List<RelayPeer> relayPeers(long nowNanos) {
+		List<RelayPeer> peers = new ArrayList<>();
+		for (Peer peer : liveEntries(nowNanos)) {
+			PeerMessage message = peer.lastMessage;
+			peers.add(new RelayPeer(message.sender(), message.dataCentre(), peer.address, message.takesRelays(),
+					message.lostServices()));
+		}
+		return peers;
+	}
+
 	/**
 	 * Returns the daemons of this data centre that sent a message recently.
 	 * @param nowNanos the current elapsed time in ns
--- /dev/null
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -0,0 +1,122 @@
+package org.comfreyslip.entry.reach;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Which services' endpoints this daemon reaches.
+ */
+public final class EndpointReach {
+
+	private final Map<String, ServiceReach> services = new HashMap<>();
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a record in which all services are reached.
+	 * @param random source of the choice and the times of trials
+	 */
+	public EndpointReach(RandomGenerator random) {
+		this.random = random;
+	}
+
+	private ServiceReach of(String service, long nowNanos) {
+		return this.services.computeIfAbsent(service, (name) -> new ServiceReach(nowNanos));
+	}
+
+	/**
+	 * Records a sign that the endpoints of a service may be out of reach: a connection
+	 * failed, opens slowly, or was closed without an answer.
+	 * @param service name of the service
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void doubt(String service, long nowNanos) {
+		of(service, nowNanos).doubt(nowNanos);
+	}
+
+	/**
+	 * Records an answer of an endpoint.
+	 * @param service name of the service
+	 * @param openedAtNanos steady time in ns at which its connection was opened
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onAnswer(String service, long openedAtNanos, long nowNanos) {
+		of(service, nowNanos).onAnswer(openedAtNanos, nowNanos);
+	}
+
+	/**
+	 * Records that bytes of an answer arrived, on any connection.
+	 * @param service name of the service
+	 * @param nowNanos the current steady time in ns
+	 */
+	public void onContact(String service, long nowNanos) {
+		of(service, nowNanos).onContact(nowNanos);
+	}
+
+	/**
+	 * Returns how long no endpoint of a service has answered.
+	 * @param service name of the service
+	 * @param nowNanos the current steady time in ns
+	 * @return the time since the last answer or successful trial, in ns
+	 */
+	public long silenceNanos(String service, long nowNanos) {
+		return of(service, nowNanos).silenceNanos(nowNanos);
+	}
+
+	/**
+	 * Returns the endpoints to which trial connections are to be opened now.
+	 * @param service name of the service
+	 * @param usable identities of its endpoints; may be empty
+	 * @param nowNanos the current steady time in ns
+	 * @return the identities; each must be followed by a result
+	 */
+	public List<String> takeTrials(String service, List<String> usable, long nowNanos) {
+		return of(service, nowNanos).takeTrials(usable, this.random, nowNanos);
+	}
+
+	/**
+	 * Records the result of a trial.
+	 * @param service name of the service
+	 * @param endpoint identity of the endpoint
+	 * @param opened whether the connection opened and stayed open
+	 * @param usableCount number of endpoints of the service
+	 * @param nowNanos the current steady time in ns
+	 * @return whether the service was lost or is reached again by this result
+	 */
+	public boolean onTrialDone(String service, String endpoint, boolean opened, int usableCount, long nowNanos) {
+		boolean lostBefore = isLost(service);
+		of(service, nowNanos).onTrialDone(endpoint, opened, usableCount, this.random, nowNanos);
+		return isLost(service) != lostBefore;
+	}
+
+	/**
+	 * Tells whether no endpoint of a service can be reached.
+	 * @param service name of the service
+	 * @return whether the trials failed
+	 */
+	public boolean isLost(String service) {
+		ServiceReach reach = this.services.get(service);
+		return reach != null && reach.state() == ServiceReach.State.LOST;
+	}
+
+	/**
+	 * Tells whether what this daemon says of the endpoints of a service counts.
+	 * @param service name of the service
+	 * @return whether there is neither a loss nor a doubt
+	 */
+	public boolean isReliable(String service) {
+		ServiceReach reach = this.services.get(service);
+		return reach == null || reach.state() == ServiceReach.State.REACHED;
+	}
+
+	/**
+	 * Returns the services none of whose endpoints can be reached.
+	 * @return their names in alphabetical order; may be empty
+	 */
+	public List<String> lostServices() {
+		return this.services.keySet().stream().filter(this::isLost).sorted().toList();
+	}
+
+}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/http/CallerConnectionTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/http/CallerConnectionTests.java
@@ -31,7 +31,7 @@
 			new KeyedFeed(), null, new SplittableRandom(1));
 
 	private EmbeddedChannel connect() {
-		return new EmbeddedChannel(new CallerConnection(this.router));
+		return new EmbeddedChannel(new CallerConnection(this.router, false));
 	}
 
 	@Test
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -28,7 +28,7 @@
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
 		return new PeerMessage(sender, "a", 77, echoNanos, new TopicPosition(12, ageNanos, 3), loads, Map.of("e2", 4.5),
-				List.of("e1"), Map.of(), new TopicPosition(40, 8, 3), true);
+				List.of("e1"), Map.of(), new TopicPosition(40, 8, 3), true, true, List.of("model"));
 	}
 
 	@Test
@@ -42,16 +42,27 @@
 		PeerMessage message = new PeerMessage(
 				"b", "a", 77, 5, new TopicPosition(12, 6, 2), Map.of(), Map.of(), List.of(), Map.of("e1",
 						new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)),
-				TopicPosition.UNKNOWN, false);
+				TopicPosition.UNKNOWN, false, false, List.of());
 		assertThat(PeerMessage.decode(message.encode())).contains(message);
 	}
 
+	@Test
+	void aDaemonThatDoesNotTellWhetherItTakesRequestsOfOthersTakesNone() {
+		PeerMessage message = message("b", 5, 6, Map.of());
+		byte[] encoded = message.encode();
+		int relayBytes = 1 + Short.BYTES + Short.BYTES + "model".length();
+		PeerMessage old = PeerMessage.decode(Arrays.copyOf(encoded, encoded.length - relayBytes)).orElseThrow();
+		assertThat(old.storeReachable()).isTrue();
+		assertThat(old.takesRelays()).isFalse();
+		assertThat(old.lostServices()).isEmpty();
+	}
+
 	@Test
 	void aMessageOfADaemonThatKnowsNeitherLimitsNorErasIsReadWithoutThem() {
 		PeerMessage expected = new PeerMessage("b", "a", 77, 5, new TopicPosition(12, 6, -1), Map.of(), Map.of(),
-				List.of(), Map.of(), TopicPosition.UNKNOWN, false);
+				List.of(), Map.of(), TopicPosition.UNKNOWN, false, false, List.of());
 		byte[] encoded = expected.encode();
-		int positionBytes = 3 * Long.BYTES + 1;
+		int positionBytes = 3 * Long.BYTES + 2 + Short.BYTES;
 		byte[] withoutPosition = Arrays.copyOf(encoded, encoded.length - positionBytes);
 		assertThat(PeerMessage.decode(withoutPosition)).contains(expected);
 		byte[] withoutLimits = Arrays.copyOf(withoutPosition, withoutPosition.length - Short.BYTES - Long.BYTES);
@@ -104,7 +115,8 @@
 	void theLoadsOfManyPeersCountUntilTheNextMessageOfEachIsDue() {
 		for (int peer = 0; peer < 78; peer++) {
 			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, TopicPosition.UNKNOWN,
-					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), TopicPosition.UNKNOWN, true);
+					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), TopicPosition.UNKNOWN, true, true,
+					List.of());
 			this.table.onMessage(message, ADDRESS, 0);
 		}
 		assertThat(this.table.totalLoads(TimeUnit.MILLISECONDS.toNanos(2_400)).daemonCount()).isEqualTo(78);
