Take a refused connection for the end of an endpoint only after another one has opened

Streams on connections that went on were ended as well.

Cause: a refused connection was taken as proof that the endpoint's process had ended. A link that is cut refuses, too.

If all endpoints of a service refuse, one of another service is tried. Avoiding the endpoint for new requests does not wait.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.comfreyslip.entry.model.Endpoint;
 
@@ -148,14 +149,26 @@
 	 * @return the endpoints in no particular order; may be empty
 	 */
 	public List<Endpoint> usableEndpoints(String service) {
+		return findUsable((endpoint) -> endpoint.service().equals(service));
+	}
+
+	/**
+	 * Returns the endpoints of all services that may receive new requests.
+	 * @return the endpoints in no particular order; may be empty
+	 */
+	public List<Endpoint> usableEndpoints() {
+		return findUsable((endpoint) -> true);
+	}
+
+	private List<Endpoint> findUsable(Predicate<Endpoint> condition) {
 		List<Endpoint> usable = new ArrayList<>();
 		for (Endpoint endpoint : this.registered.values()) {
-			if (endpoint.service().equals(service) && !endpoint.draining()) {
+			if (condition.test(endpoint) && !endpoint.draining()) {
 				usable.add(endpoint);
 			}
 		}
 		for (Lapsed entry : this.lapsed.values()) {
-			if (entry.endpoint().service().equals(service)) {
+			if (condition.test(entry.endpoint())) {
 				usable.add(entry.endpoint());
 			}
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ConnectionTrial.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ConnectionTrial.java
@@ -44,9 +44,10 @@
 	/**
 	 * Starts a trial.
 	 * @param address address of the endpoint
+	 * @param onOpened called as soon as the connection is open
 	 * @param done takes whether the connection opened and stayed open
 	 */
-	void start(InetSocketAddress address, Consumer<Boolean> done) {
+	void start(InetSocketAddress address, Runnable onOpened, Consumer<Boolean> done) {
 		this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter() {
 			@Override
 			public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
@@ -54,6 +55,7 @@
 			}
 		}).connect(address).addListener((ChannelFuture connected) -> {
 			if (connected.isSuccess()) {
+				onOpened.run();
 				this.loop.schedule(() -> finish(connected.channel(), done), STAY_OPEN_MS, TimeUnit.MILLISECONDS);
 			}
 			else {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
@@ -13,10 +13,11 @@
 import org.comfreyslip.entry.fleet.EndpointDirectory;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.reach.EndpointReach;
+import org.comfreyslip.entry.reach.RefusedConnections;
 
 /**
  * Runs the trial connections by which {@link EndpointReach} decides which services are
- * reached.
+ * reached, and reports the endpoints that have ended.
  */
 final class ReachMonitor implements ConnectionObserver {
 
@@ -24,16 +25,21 @@
 
 	private final EndpointDirectory directory;
 
+	private final RandomGenerator random;
+
 	private final Listener listener;
 
 	private final EndpointReach reach;
 
+	private final RefusedConnections refused = new RefusedConnections();
+
 	/** Services for which trials may be due. */
 	private final Set<String> watched = new HashSet<>();
 
 	ReachMonitor(EventLoop loop, EndpointDirectory directory, RandomGenerator random, Listener listener) {
 		this.trial = new ConnectionTrial(loop);
 		this.directory = directory;
+		this.random = random;
 		this.listener = listener;
 		this.reach = new EndpointReach(random);
 	}
@@ -58,6 +64,7 @@
 	public void onAnswer(ConnectionTarget target, long openedAtNanos) {
 		long now = System.nanoTime();
 		serviceOf(target.id()).ifPresent((service) -> this.reach.onAnswer(service, openedAtNanos, now));
+		reportEnded(now);
 	}
 
 	private Optional<String> serviceOf(String endpointId) {
@@ -80,6 +87,17 @@
 		startTrials(service, nowNanos);
 	}
 
+	/**
+	 * Records that an endpoint refused a connection. It is reported as ended once another
+	 * connection shows that this daemon is not cut off.
+	 * @param endpoint the endpoint
+	 * @param nowNanos the current steady time in ns
+	 */
+	void onRefused(Endpoint endpoint, long nowNanos) {
+		this.refused.add(endpoint, nowNanos);
+		doubt(endpoint.service(), nowNanos);
+	}
+
 	/**
 	 * Starts the trials that are due. Called periodically.
 	 * @param nowNanos the current steady time in ns
@@ -91,6 +109,7 @@
 				this.watched.remove(service);
 			}
 		}
+		reportEnded(nowNanos);
 	}
 
 	private void startTrials(String service, long nowNanos) {
@@ -98,19 +117,21 @@
 		for (String id : this.reach.takeTrials(service, usable, nowNanos)) {
 			Optional<Endpoint> endpoint = this.directory.findUsable(id);
 			this.listener.onTrial();
-			this.trial.start(endpoint.get().address(),
+			this.trial.start(endpoint.get().address(), this::onOpened,
 					(opened) -> onTrialDone(service, id, opened, usable.size(), System.nanoTime()));
 		}
 	}
 
 	private void onTrialDone(String service, String endpointId, boolean opened, int usableCount, long nowNanos) {
 		boolean changed = this.reach.onTrialDone(service, endpointId, opened, usableCount, nowNanos);
+		reportEnded(nowNanos);
 		if (!changed) {
 			startTrials(service, nowNanos);
 			return;
 		}
 		if (this.reach.isLost(service)) {
 			EntryLog.write(EntryEvent.SERVICE_LOST, service, "endpoints", usableCount);
+			tryOtherService(service);
 			this.listener.onLost(service, nowNanos);
 		}
 		else {
@@ -119,6 +140,31 @@
 		}
 	}
 
+	// If an endpoint of another service can be reached, those of the lost one have
+	// ended.
+	private void tryOtherService(String lost) {
+		List<Endpoint> others = this.directory.usableEndpoints()
+			.stream()
+			.filter((one) -> !one.service().equals(lost) && !this.reach.isLost(one.service()))
+			.toList();
+		if (this.refused.isEmpty() || others.isEmpty()) {
+			return;
+		}
+		this.listener.onTrial();
+		this.trial.start(others.get(this.random.nextInt(others.size())).address(), this::onOpened, (opened) -> {
+		});
+	}
+
+	private void onOpened() {
+		long now = System.nanoTime();
+		this.reach.onProof(now);
+		reportEnded(now);
+	}
+
+	private void reportEnded(long nowNanos) {
+		this.refused.takeEnded(this.reach, nowNanos).forEach((one) -> this.listener.onEnded(one, nowNanos));
+	}
+
 	/** Acts on what the trials show. */
 	interface Listener {
 
@@ -142,6 +188,13 @@
 		 */
 		void onReachedAgain(String service, long nowNanos);
 
+		/**
+		 * The process of an endpoint has ended.
+		 * @param endpoint the endpoint
+		 * @param nowNanos the current steady time in ns
+		 */
+		void onEnded(Endpoint endpoint, long nowNanos);
+
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -703,10 +703,16 @@
 		return usable;
 	}
 
-	// The endpoint's process has ended. Ends the sends of all streams through it that can
-	// continue on another path.
+	// The endpoint's process has ended, or the way to it is cut.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
-		this.reachMonitor.doubt(endpoint.service(), nowNanos);
+		this.faults.recordConnectionRefused(endpoint.id(), true, nowNanos);
+		this.reachMonitor.onRefused(endpoint, nowNanos);
+	}
+
+	// Ends the sends of all streams through an endpoint that can continue on another
+	// path.
+	@Override
+	public void onEnded(Endpoint endpoint, long nowNanos) {
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
 		boolean leaving = this.directory.findUsable(endpoint.id()).isEmpty();
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -14,6 +14,11 @@
 
 	private final RandomGenerator random;
 
+	/** Steady time in ns of the last new connection that proves this host's network. */
+	private long lastProofNanos;
+
+	private boolean proven;
+
 	/**
 	 * Creates a record in which all services are reached.
 	 * @param random source of the choice and the times of trials
@@ -43,7 +48,9 @@
 	 * @param nowNanos the current steady time in ns
 	 */
 	public void onAnswer(String service, long openedAtNanos, long nowNanos) {
-		of(service, nowNanos).onAnswer(openedAtNanos, nowNanos);
+		if (of(service, nowNanos).onAnswer(openedAtNanos, nowNanos)) {
+			onProof(openedAtNanos);
+		}
 	}
 
 	/**
@@ -91,6 +98,25 @@
 		return isLost(service) != lostBefore;
 	}
 
+	/**
+	 * Records that a connection to an endpoint of any service has opened.
+	 * @param openedAtNanos when it opened, in steady ns
+	 */
+	public void onProof(long openedAtNanos) {
+		this.lastProofNanos = (this.proven) ? Math.max(this.lastProofNanos, openedAtNanos) : openedAtNanos;
+		this.proven = true;
+	}
+
+	/**
+	 * Tells whether a new connection has proved good since a time, so that a connection
+	 * refused at that time is due to the endpoint and not to this host's network.
+	 * @param sinceNanos the time, in steady ns
+	 * @return whether one has
+	 */
+	public boolean isProvenSince(long sinceNanos) {
+		return this.proven && this.lastProofNanos - sinceNanos > 0;
+	}
+
 	/**
 	 * Tells whether no endpoint of a service can be reached.
 	 * @param service name of the service
