Leave the placement of layers to a daemon that reaches the engines

A daemon that has lost a model's engines, while another one may reach them, now leaves the group, joins it again only after the loss, and plans nothing meanwhile. It does not read the store for its data centre either, since only readers stand for election.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -208,9 +208,11 @@
 		this.directory.dropExpired(now);
 		this.router.checkConnections(System.nanoTime());
 		this.router.endpointLimits().removeExpired(System.nanoTime());
-		this.router.configuration()
-			.ifPresent((configuration) -> this.placement.planAndOrder(configuration.services().values(), now,
-					System.nanoTime()));
+		if (!this.router.isCutOffFromEngines()) {
+			this.router.configuration()
+				.ifPresent((configuration) -> this.placement.planAndOrder(configuration.services().values(), now,
+						System.nanoTime()));
+		}
 		if (this.stopping) {
 			continueShutdown();
 		}
@@ -233,7 +235,13 @@
 	// Only daemons that read the store for others stand for election, since each renewal
 	// is a call to the store.
 	private void renewLeadership() {
-		if (!this.peers.storeReading().reads() && !this.leaderLease.isLeader()) {
+		boolean cutOff = this.router.isCutOffFromEngines();
+		if (cutOff && this.leaderLease.isLeader()) {
+			// Another daemon reaches the engines.
+			this.leaderLease.resign();
+			this.ports.leadership().leave();
+		}
+		if (cutOff || (!this.peers.storeReading().reads() && !this.leaderLease.isLeader())) {
 			this.loop.schedule(this::renewLeadership, LeaderLease.RENEWAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
 			return;
 		}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -356,6 +356,19 @@
 		return this.reachMonitor.reach().lostServices();
 	}
 
+	@Override
+	public boolean isCutOffFromEngines() {
+		List<String> lost = lostServices();
+		if (lost.isEmpty() || this.configuration == null) {
+			return false;
+		}
+		return this.configuration.services()
+			.values()
+			.stream()
+			.filter((service) -> service.engine().isPresent() && lost.contains(service.name()))
+			.anyMatch((service) -> this.relays.canPassOn(service.name(), System.nanoTime()));
+	}
+
 	@Override
 	public boolean takesRelays() {
 		return this.acceptingRequests && !this.stopping;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
@@ -71,6 +71,11 @@
 		}
 	}
 
+	/** Gives the leadership up. */
+	public void resign() {
+		this.leader = false;
+	}
+
 	/**
 	 * Records that an engine rejected an order because it has seen a higher fencing
 	 * token. No order is given again under this token or a lower one.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -291,8 +291,10 @@
 		this.lastRoundNanos = now;
 		this.blame.setPeers(livePeers.keySet());
 		this.limits.setPeers(livePeers, wasSilent, PeerSchedule.settlingNanos(targets.size()), System.nanoTime());
-		boolean storeReachable = !this.stopping && !this.configurationFeed.isStoreUnavailable()
-				&& !this.registrationsFeed.isStoreUnavailable();
+		// The reader of a data centre also stands for election as the leader, who has to
+		// reach engines.
+		boolean storeReachable = !this.stopping && !this.reach.isCutOffFromEngines()
+				&& !this.configurationFeed.isStoreUnavailable() && !this.registrationsFeed.isStoreUnavailable();
 		updateStoreReading(storeReachable, now);
 		List<String> unreachable = this.faults.locallyObservedFaults(System.nanoTime())
 			.stream()
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/OwnReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/OwnReach.java
@@ -13,6 +13,13 @@
 	 */
 	List<String> lostServices();
 
+	/**
+	 * Tells whether this daemon does not reach the engines of a model, though another one
+	 * may: it must not lead the placement of layers.
+	 * @return whether it is cut off
+	 */
+	boolean isCutOffFromEngines();
+
 	/**
 	 * Tells whether this daemon takes requests of others.
 	 * @return whether it does
