Refuse requests at once while no daemon reaches an endpoint, and see the first one that returns

Found by requestsAreRefusedAtOnceWhileNoDaemonReachesAnEndpoint: with all links hanging, a request was refused after 1.2 s (allowed is half of its deadline, 1 s), since it was still sent to endpoints whose backoff had ended, each for 300 ms.

While a service is lost, only trials look for endpoints. One that opens ends the loss (two different ones were needed before, which a service with a single endpoint left could never reach), and an endpoint that has registered since is tried at once.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -248,7 +248,8 @@
 			refuseAsCrashing(crashRefusalMs.getAsLong());
 			return;
 		}
-		if (this.router.isLost(this.admitted.service()) && passOnOrDecline(now)) {
+		if (this.router.isLost(this.admitted.service())) {
+			dispatchElsewhere(now);
 			return;
 		}
 		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
@@ -265,25 +266,20 @@
 		sendTo(target.get(), now);
 	}
 
-	// Returns whether the request is dealt with. If no daemon is known to reach the
-	// endpoints, it goes to one of them that has not failed lately.
-	private boolean passOnOrDecline(long now) {
-		if (isOfOtherDaemon()) {
-			boolean hasRunHere = this.endpointsThatMayHaveRun
-				.size() > this.callerRequest.envelope().get().triedEndpoints().size();
-			if (!this.streamStarted && !hasRunHere) {
-				decline("endpoints out of reach");
-				return true;
-			}
-			return false;
-		}
-		Optional<RelayPeer> chosen = choosePeer(now);
-		chosen.ifPresent((one) -> passOn(one, now));
-		if (chosen.isEmpty() && !this.triedPeers.isEmpty()) {
-			refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach", this.router.capacityRetryMs());
-			return true;
+	// No endpoint of the service can be reached from here; trials show when that ends.
+	private void dispatchElsewhere(long now) {
+		if (isOfOtherDaemon() && !this.streamStarted && !hasRunHere()) {
+			decline("endpoints out of reach");
+			return;
 		}
-		return chosen.isPresent();
+		choosePeer(now).ifPresentOrElse((one) -> passOn(one, now),
+				() -> refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach",
+						this.router.capacityRetryMs()));
+	}
+
+	private boolean hasRunHere() {
+		int before = this.callerRequest.envelope().map((envelope) -> envelope.triedEndpoints().size()).orElse(0);
+		return this.endpointsThatMayHaveRun.size() > before;
 	}
 
 	// A request under which an endpoint has ended is not passed on, since it may be the
@@ -839,8 +835,8 @@
 		}
 		String current = this.endpoint.id();
 		this.endpointsThatMayHaveRun.add(current);
-		if (this.router.isLost(this.admitted.service()) && choosePeer(now).isPresent()) {
-			return true;
+		if (this.router.isLost(this.admitted.service())) {
+			return choosePeer(now).isPresent();
 		}
 		if (this.path == null) {
 			Set<String> used = new HashSet<>(this.excludedEndpoints);
@@ -881,7 +877,8 @@
 			}
 			return;
 		}
-		Optional<Endpoint> target = chooseTarget(now);
+		Optional<Endpoint> target = (this.router.isLost(this.admitted.service())) ? Optional.empty()
+				: chooseTarget(now);
 		if (target.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
 			sendTo(target.get(), now);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
@@ -118,24 +118,24 @@
 			Optional<Endpoint> endpoint = this.directory.findUsable(id);
 			this.listener.onTrial();
 			this.trial.start(endpoint.get().address(), this::onOpened,
-					(opened) -> onTrialDone(service, id, opened, usable.size(), System.nanoTime()));
+					(opened) -> onTrialDone(service, id, opened, usable, System.nanoTime()));
 		}
 	}
 
-	private void onTrialDone(String service, String endpointId, boolean opened, int usableCount, long nowNanos) {
-		boolean changed = this.reach.onTrialDone(service, endpointId, opened, usableCount, nowNanos);
+	private void onTrialDone(String service, String endpointId, boolean opened, List<String> usable, long nowNanos) {
+		boolean changed = this.reach.onTrialDone(service, endpointId, opened, usable, nowNanos);
 		reportEnded(nowNanos);
 		if (!changed) {
 			startTrials(service, nowNanos);
 			return;
 		}
 		if (this.reach.isLost(service)) {
-			EntryLog.write(EntryEvent.SERVICE_LOST, service, "endpoints", usableCount);
+			EntryLog.write(EntryEvent.SERVICE_LOST, service, "endpoints", usable.size());
 			tryOtherService(service);
 			this.listener.onLost(service, nowNanos);
 		}
 		else {
-			EntryLog.write(EntryEvent.SERVICE_REACHED, service, "endpoints", usableCount);
+			EntryLog.write(EntryEvent.SERVICE_REACHED, service, "endpoints", usable.size());
 			this.listener.onReachedAgain(service, nowNanos);
 		}
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry.reach;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -88,13 +89,14 @@
 	 * @param service name of the service
 	 * @param endpoint identity of the endpoint
 	 * @param opened whether the connection opened and stayed open
-	 * @param usableCount number of endpoints of the service
+	 * @param usable identities of the endpoints of the service
 	 * @param nowNanos the current steady time in ns
 	 * @return whether the service was lost or is reached again by this result
 	 */
-	public boolean onTrialDone(String service, String endpoint, boolean opened, int usableCount, long nowNanos) {
+	public boolean onTrialDone(String service, String endpoint, boolean opened, Collection<String> usable,
+			long nowNanos) {
 		boolean lostBefore = isLost(service);
-		of(service, nowNanos).onTrialDone(endpoint, opened, usableCount, this.random, nowNanos);
+		of(service, nowNanos).onTrialDone(endpoint, opened, usable, this.random, nowNanos);
 		return isLost(service) != lostBefore;
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/ServiceReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/ServiceReach.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.reach;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -18,9 +19,6 @@
 	/** Number of endpoints to which trials settle a doubt. */
 	static final int DECIDING_TRIALS = 3;
 
-	/** Number of endpoints that must be reached, one after the other, after a loss. */
-	static final int RESTORING_TRIALS = 2;
-
 	/**
 	 * Mean time between two trials while the service is lost, in ns: short against the
 	 * time in which callers come back.
@@ -28,8 +26,8 @@
 	static final long TRIAL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/**
-	 * Least time between two doubts, in ns; bounds the trials while single endpoints
-	 * fail.
+	 * Least time between the trials of two doubts, in ns; bounds their number while
+	 * single endpoints fail.
 	 */
 	private static final long DOUBT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -38,18 +36,16 @@
 	/** Steady time in ns of the last doubt; valid only after the first one. */
 	private long doubtedAtNanos;
 
-	private boolean everDoubted;
-
 	/** Steady time in ns of the last answer of an endpoint or successful trial. */
 	private long lastContactNanos;
 
-	/** Steady time in ns from which the next trial during a loss is due. */
+	/** Steady time in ns from which the next trials are due. */
 	private long nextTrialNanos;
 
-	private final Set<String> runningTrials = new HashSet<>();
+	/** Endpoints that were known when the service was lost, or have been tried since. */
+	private final Set<String> knownEndpoints = new HashSet<>();
 
-	/** Endpoints reached one after the other since the loss. */
-	private final Set<String> restored = new HashSet<>();
+	private final Set<String> runningTrials = new HashSet<>();
 
 	/**
 	 * Creates the state of a service that is reached.
@@ -57,6 +53,7 @@
 	 */
 	ServiceReach(long nowNanos) {
 		this.lastContactNanos = nowNanos;
+		this.nextTrialNanos = nowNanos;
 	}
 
 	State state() {
@@ -68,10 +65,8 @@
 	 * @param nowNanos the current steady time in ns
 	 */
 	void doubt(long nowNanos) {
-		boolean recent = this.everDoubted && nowNanos - this.doubtedAtNanos < DOUBT_INTERVAL_NANOS;
-		if (this.state == State.REACHED && !recent) {
+		if (this.state == State.REACHED) {
 			this.state = State.DOUBTED;
-			this.everDoubted = true;
 			this.doubtedAtNanos = nowNanos;
 		}
 	}
@@ -113,75 +108,50 @@
 	 * @return the identities; may be empty
 	 */
 	List<String> takeTrials(List<String> usable, RandomGenerator random, long nowNanos) {
-		if (!this.runningTrials.isEmpty() || usable.isEmpty() || !isTrialDue(nowNanos)) {
+		if (!this.runningTrials.isEmpty() || this.state == State.REACHED) {
 			return List.of();
 		}
 		List<String> candidates = new ArrayList<>(usable);
-		candidates.removeAll(this.restored);
+		if (this.state == State.LOST && candidates.stream().anyMatch((id) -> !this.knownEndpoints.contains(id))) {
+			// An endpoint has started since, and may be the first one to come back.
+			candidates.removeAll(this.knownEndpoints);
+		}
+		else if (nowNanos - this.nextTrialNanos < 0) {
+			return List.of();
+		}
 		List<String> chosen = new ArrayList<>();
 		int count = (this.state == State.LOST) ? 1 : DECIDING_TRIALS;
 		while (chosen.size() < count && !candidates.isEmpty()) {
 			chosen.add(candidates.remove(random.nextInt(candidates.size())));
 		}
 		this.runningTrials.addAll(chosen);
+		this.knownEndpoints.addAll(chosen);
+		this.nextTrialNanos = nowNanos + DOUBT_INTERVAL_NANOS;
 		return chosen;
 	}
 
-	private boolean isTrialDue(long nowNanos) {
-		return switch (this.state) {
-			case REACHED -> false;
-			case DOUBTED -> true;
-			case LOST -> nowNanos - this.nextTrialNanos >= 0;
-		};
-	}
-
 	/**
 	 * Records the result of a trial.
 	 * @param endpoint identity of the endpoint
 	 * @param opened whether the connection opened and stayed open
-	 * @param usableCount number of endpoints of the service
+	 * @param usable identities of the endpoints of the service
 	 * @param random source of the time of the next trial
 	 * @param nowNanos the current steady time in ns
-	 * @return whether the state has changed
 	 */
-	boolean onTrialDone(String endpoint, boolean opened, int usableCount, RandomGenerator random, long nowNanos) {
-		State before = this.state;
+	void onTrialDone(String endpoint, boolean opened, Collection<String> usable, RandomGenerator random,
+			long nowNanos) {
 		this.runningTrials.remove(endpoint);
 		if (opened) {
 			this.lastContactNanos = nowNanos;
-		}
-		if (before == State.DOUBTED) {
-			settleDoubt(opened, random, nowNanos);
-		}
-		else if (before == State.LOST) {
-			onTrialDuringLoss(endpoint, opened, usableCount, random, nowNanos);
-		}
-		return this.state != before;
-	}
-
-	private void settleDoubt(boolean opened, RandomGenerator random, long nowNanos) {
-		if (opened) {
 			this.state = State.REACHED;
 		}
-		else if (this.runningTrials.isEmpty()) {
-			this.state = State.LOST;
-			this.restored.clear();
-			scheduleTrial(random, nowNanos);
-		}
-	}
-
-	private void onTrialDuringLoss(String endpoint, boolean opened, int usableCount, RandomGenerator random,
-			long nowNanos) {
-		if (!opened) {
-			this.restored.clear();
+		else if (this.runningTrials.isEmpty() && this.state != State.REACHED) {
+			if (this.state == State.DOUBTED) {
+				this.state = State.LOST;
+				this.knownEndpoints.clear();
+				this.knownEndpoints.addAll(usable);
+			}
 			scheduleTrial(random, nowNanos);
-			return;
-		}
-		this.restored.add(endpoint);
-		this.nextTrialNanos = nowNanos;
-		if (this.restored.size() >= Math.min(RESTORING_TRIALS, usableCount)) {
-			this.restored.clear();
-			this.state = State.REACHED;
 		}
 	}
 
