--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/RelaySelector.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/RelaySelector.java
@@ -67,9 +67,18 @@
 				}
 			}
 		}
-		// A daemon that has just declined shows that losses here may not be known yet.
-		boolean localOnly = tried.isEmpty() && local.size() >= LOCAL_PEERS_PER_LOSS * localLosses;
-		return chooseLessBusy((localOnly) ? local : all);
+		return chooseLessBusy((isLocalBetter(local.size(), localLosses, tried.size())) ? local : all);
+	}
+
+	// The second choice is from all, since losses in the data centre may not be known
+	// yet.
+	// Later ones are not, since those of other data centres become known last.
+	private static boolean isLocalBetter(int localPeers, int localLosses, int triedCount) {
+		return switch (triedCount) {
+			case 0 -> localPeers >= LOCAL_PEERS_PER_LOSS * localLosses;
+			case 1 -> false;
+			default -> localPeers > 0;
+		};
 	}
 
 	private Optional<RelayPeer> chooseLessBusy(List<RelayPeer> candidates) {
