Try endpoints that have not failed lately when the way to a service is in doubt

Found by a test in which 8 of 12 engines had ended while they were still registered: three trials chosen among all of them may all go to ended ones (one time in four), and the service counted as lost although others were sound. Trials now go to endpoints that are not avoided, if there are any.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
@@ -114,7 +114,8 @@
 
 	private void startTrials(String service, long nowNanos) {
 		List<String> usable = this.directory.usableEndpoints(service).stream().map(Endpoint::id).toList();
-		for (String id : this.reach.takeTrials(service, usable, nowNanos)) {
+		List<String> sound = usable.stream().filter((id) -> !this.listener.isAvoided(id, nowNanos)).toList();
+		for (String id : this.reach.takeTrials(service, (sound.isEmpty()) ? usable : sound, nowNanos)) {
 			Optional<Endpoint> endpoint = this.directory.findUsable(id);
 			this.listener.onTrial();
 			this.trial.start(endpoint.get().address(), this::onOpened,
@@ -171,6 +172,15 @@
 		/** A connection that a request needs could not be opened. */
 		void onConnectFailed();
 
+		/**
+		 * Tells whether an endpoint has failed lately, so that a trial of another one
+		 * says more.
+		 * @param endpointId identity of the endpoint
+		 * @param nowNanos the current steady time in ns
+		 * @return whether it is avoided
+		 */
+		boolean isAvoided(String endpointId, long nowNanos);
+
 		/** A trial connection is opened. */
 		void onTrial();
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -398,6 +398,11 @@
 		this.metrics.increment(EntryMetrics.Count.CONNECTS_FAILED);
 	}
 
+	@Override
+	public boolean isAvoided(String endpointId, long nowNanos) {
+		return this.faults.isAvoided(endpointId, nowNanos);
+	}
+
 	@Override
 	public void onTrial() {
 		this.metrics.increment(EntryMetrics.Count.REACH_TRIALS);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -76,7 +76,7 @@
 	/**
 	 * Returns the endpoints to which trial connections are to be opened now.
 	 * @param service name of the service
-	 * @param usable identities of its endpoints; may be empty
+	 * @param usable identities of its endpoints that are worth a trial; may be empty
 	 * @param nowNanos the current steady time in ns
 	 * @return the identities; each must be followed by a result
 	 */
