--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -210,7 +210,10 @@
 			decline(declined.get());
 			return;
 		}
-		this.countedAsTaken = isOfOtherDaemon();
+		if (isOfOtherDaemon()) {
+			this.countedAsTaken = true;
+			this.router.recordRelay(EntryMetrics.Count.RELAYS_TAKEN);
+		}
 		Router.Admission admission = this.router.admit(this.callerRequest, this.requestFields);
 		if (admission.refusal() != null) {
 			respond(admission.refusal(), Outcome.REFUSED, admission.reason());
