--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -251,8 +251,7 @@
 			refuseAsCrashing(crashRefusalMs.getAsLong());
 			return;
 		}
-		if (this.router.isLost(this.admitted.service())) {
-			dispatchElsewhere(now);
+		if (this.router.isLost(this.admitted.service()) && dispatchElsewhere(now)) {
 			return;
 		}
 		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
@@ -270,14 +269,23 @@
 	}
 
 	// No endpoint of the service can be reached from here; trials show when that ends.
-	private void dispatchElsewhere(long now) {
+	// Returns false if one that has started since may be tried instead.
+	private boolean dispatchElsewhere(long now) {
+		Optional<RelayPeer> chosen = choosePeer(now);
+		if (chosen.isPresent()) {
+			passOn(chosen.get(), now);
+			return true;
+		}
+		if (this.router.maySendDirectly(this.admitted.service())) {
+			return false;
+		}
 		if (isOfOtherDaemon() && !this.streamStarted && !hasRunHere()) {
 			decline("endpoints out of reach");
-			return;
 		}
-		choosePeer(now).ifPresentOrElse((one) -> passOn(one, now),
-				() -> refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach",
-						this.router.capacityRetryMs()));
+		else {
+			refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach", this.router.capacityRetryMs());
+		}
+		return true;
 	}
 
 	private boolean hasRunHere() {
@@ -838,7 +846,7 @@
 		}
 		String current = this.endpoint.id();
 		this.endpointsThatMayHaveRun.add(current);
-		if (this.router.isLost(this.admitted.service())) {
+		if (!this.router.maySendDirectly(this.admitted.service())) {
 			return choosePeer(now).isPresent();
 		}
 		if (this.path == null) {
@@ -880,8 +888,8 @@
 			}
 			return;
 		}
-		Optional<Endpoint> target = (this.router.isLost(this.admitted.service())) ? Optional.empty()
-				: chooseTarget(now);
+		Optional<Endpoint> target = (this.router.maySendDirectly(this.admitted.service())) ? chooseTarget(now)
+				: Optional.empty();
 		if (target.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
 			sendTo(target.get(), now);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -389,6 +389,14 @@
 		return this.reachMonitor.reach().isLost(service);
 	}
 
+	// Tells whether a request may be sent to an endpoint of a service: to any as long as
+	// the service is not lost, else only if one has started since.
+	boolean maySendDirectly(String service) {
+		EndpointReach reach = this.reachMonitor.reach();
+		return !reach.isLost(service) || reach.hasUntried(service,
+				this.directory.usableEndpoints(service).stream().map(Endpoint::id).toList());
+	}
+
 	long configurationVersion() {
 		return configuration().map(Configuration::version).orElse(-1L);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -129,6 +129,17 @@
 		return reach != null && reach.state() == ServiceReach.State.LOST;
 	}
 
+	/**
+	 * Tells whether an endpoint of a lost service has started since the loss.
+	 * @param service name of the service
+	 * @param usable identities of its endpoints; may be empty
+	 * @return whether one of them has not been tried
+	 */
+	public boolean hasUntried(String service, Collection<String> usable) {
+		ServiceReach reach = this.services.get(service);
+		return reach != null && reach.hasUntried(usable);
+	}
+
 	/**
 	 * Tells whether what this daemon says of the endpoints of a service counts.
 	 * @param service name of the service
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/ServiceReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/ServiceReach.java
@@ -42,7 +42,9 @@
 	/** Steady time in ns from which the next trials are due. */
 	private long nextTrialNanos;
 
-	/** Endpoints that were known when the service was lost, or have been tried since. */
+	/**
+	 * Endpoints that were known when the service was lost, or whose trial failed since.
+	 */
 	private final Set<String> knownEndpoints = new HashSet<>();
 
 	private final Set<String> runningTrials = new HashSet<>();
@@ -112,7 +114,7 @@
 			return List.of();
 		}
 		List<String> candidates = new ArrayList<>(usable);
-		if (this.state == State.LOST && candidates.stream().anyMatch((id) -> !this.knownEndpoints.contains(id))) {
+		if (hasUntried(usable)) {
 			// An endpoint has started since, and may be the first one to come back.
 			candidates.removeAll(this.knownEndpoints);
 		}
@@ -125,11 +127,19 @@
 			chosen.add(candidates.remove(random.nextInt(candidates.size())));
 		}
 		this.runningTrials.addAll(chosen);
-		this.knownEndpoints.addAll(chosen);
 		this.nextTrialNanos = nowNanos + DOUBT_INTERVAL_NANOS;
 		return chosen;
 	}
 
+	/**
+	 * Tells whether an endpoint has started during a loss, which may be reached.
+	 * @param usable identities of the endpoints of the service; may be empty
+	 * @return whether the service is lost and one of them has not been tried since
+	 */
+	boolean hasUntried(Collection<String> usable) {
+		return this.state == State.LOST && !this.knownEndpoints.containsAll(usable);
+	}
+
 	/**
 	 * Records the result of a trial.
 	 * @param endpoint identity of the endpoint
@@ -141,6 +151,7 @@
 	void onTrialDone(String endpoint, boolean opened, Collection<String> usable, RandomGenerator random,
 			long nowNanos) {
 		this.runningTrials.remove(endpoint);
+		this.knownEndpoints.add(endpoint);
 		if (opened) {
 			this.lastContactNanos = nowNanos;
 			this.state = State.REACHED;
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/reach/EndpointReachTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/reach/EndpointReachTests.java
@@ -104,7 +104,12 @@
 		assertThat(this.reach.takeTrials("s", ENDPOINTS, ms(1))).isEmpty();
 		List<String> withNew = new ArrayList<>(ENDPOINTS);
 		withNew.add("e6");
+		assertThat(this.reach.hasUntried("s", ENDPOINTS)).isFalse();
+		assertThat(this.reach.hasUntried("s", withNew)).isTrue();
 		assertThat(this.reach.takeTrials("s", withNew, ms(2))).containsExactly("e6");
+		assertThat(this.reach.hasUntried("s", withNew)).isTrue();
+		this.reach.onTrialDone("s", "e6", false, withNew, ms(3));
+		assertThat(this.reach.hasUntried("s", withNew)).isFalse();
 	}
 
 	@Test
