--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -775,9 +775,8 @@
 		failRequest("endpoint " + endpointId + " broke off: " + cause);
 	}
 
-	// The connection to another daemon failed. If it had the request, an endpoint may
-	// have
-	// run it.
+	// The connection to another daemon failed. An endpoint may have run the request if
+	// that daemon had it.
 	private void onRelayFailed(SendFailureCause cause, long now) {
 		String name = this.peer.name();
 		this.router.relays().onNotTaken(this.peer, this.admitted.service(), now);
