Let parts of the daemon add blocks of their own to the messages between daemons

Each block has a tag and a length, so that releases that do not know a tag skip it, and earlier releases ignore the bytes after the last component that they know. No part adds a block yet.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -1,8 +1,11 @@
 package org.comfreyslip.entry.peer;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -84,6 +87,8 @@
 
 	private final KeyedFeed announcementsFeed = new KeyedFeed();
 
+	private final List<PeerExtension> extensions = new ArrayList<>();
+
 	private Consumer<RegistrationRelay> onRelay = (relay) -> {
 	};
 
@@ -156,6 +161,14 @@
 		this.onRelay = action;
 	}
 
+	/**
+	 * Adds a block to the messages. Must be called before {@link #start()}.
+	 * @param extension the part of the daemon that writes and reads the block
+	 */
+	public void addExtension(PeerExtension extension) {
+		this.extensions.add(extension);
+	}
+
 	/** Opens the socket and starts the exchange. Must be called on the event loop. */
 	public void start() {
 		this.socket = new PeerSocket(this.loop, this.address, this::onMessage, (relay) -> this.onRelay.accept(relay),
@@ -270,6 +283,8 @@
 				message.confirmedAtNanos(message.configuration(), now), now);
 		this.registrationsFeed.onPeerPosition(message.registrations(),
 				message.confirmedAtNanos(message.registrations(), now), now);
+		this.extensions.forEach((one) -> one.onContent(message.sender(), message.dataCentre(),
+				Optional.ofNullable(message.extensions().get(one.tag())), now));
 		message.slowdownFactors()
 			.forEach((id, factor) -> this.slowdownFactors.recordPeerReport(id, factor, System.nanoTime()));
 		message.limits().forEach((id, statement) -> this.limits.onPeerStatement(id, statement, System.nanoTime()));
@@ -310,7 +325,8 @@
 				this.loads.ownLoads(), this.slowdownFactors.ownSlowEngines(System.nanoTime()), unreachable,
 				this.limits.ownStatements(System.nanoTime()),
 				this.registrationsFeed.position(REGISTRATION_INTERVALS.currentNanos(this.storeReading), now),
-				storeReachable, !this.stopping && this.reach.takesRelays(), this.reach.lostServices())
+				storeReachable, !this.stopping && this.reach.takesRelays(), this.reach.lostServices(),
+				extensionContents(now))
 			.encode();
 		for (PeerTable.Target target : targets) {
 			if (includeRemote || target.dataCentre().equals(this.dataCentre)) {
@@ -320,6 +336,14 @@
 		this.loop.schedule(this::sendRound, PeerSchedule.roundIntervalMs(this.storeReading), TimeUnit.MILLISECONDS);
 	}
 
+	private Map<Integer, byte[]> extensionContents(long nowNanos) {
+		Map<Integer, byte[]> contents = new HashMap<>();
+		for (PeerExtension extension : this.extensions) {
+			extension.content(nowNanos).ifPresent((content) -> contents.put(extension.tag(), content));
+		}
+		return contents;
+	}
+
 	private void updateStoreReading(boolean storeReachable, long nowNanos) {
 		boolean readBefore = this.storeReading.reads();
 		this.storeReading = ReaderSelection.select(this.dataCentre, this.name, storeReachable,
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerMessage.java
@@ -46,15 +46,19 @@
  * @param takesRelays whether the sender takes requests of other daemons
  * @param lostServices names of the services whose endpoints the sender does not reach;
  * may be empty
+ * @param extensions blocks of parts of the daemon by their tag; may be empty
  */
 public record PeerMessage(String sender, String dataCentre, long sentAtNanos, long echoNanos,
 		TopicPosition configuration, Map<String, Load> loads, Map<String, Double> slowdownFactors,
 		List<String> unreachableEndpoints, Map<String, EndpointLimits.Statement> limits, TopicPosition registrations,
-		boolean storeReachable, boolean takesRelays, List<String> lostServices) {
+		boolean storeReachable, boolean takesRelays, List<String> lostServices, Map<Integer, byte[]> extensions) {
 
 	/** Version of the binary format; datagrams of another version are ignored. */
 	private static final int FORMAT_VERSION = 1;
 
+	/** Largest size of the content of an extension, in bytes. */
+	public static final int MAX_EXTENSION_BYTES = 4_096;
+
 	/** Encoded rate of a limit that has ended. */
 	private static final double NO_LIMIT = -1;
 
@@ -114,6 +118,12 @@
 			out.writeBoolean(this.storeReachable);
 			out.writeBoolean(this.takesRelays);
 			writeNames(out, this.lostServices);
+			out.writeShort(this.extensions.size());
+			for (Map.Entry<Integer, byte[]> entry : this.extensions.entrySet()) {
+				out.writeByte(entry.getKey());
+				out.writeShort(entry.getValue().length);
+				out.write(entry.getValue());
+			}
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("cannot encode a message to another daemon", ex);
@@ -175,7 +185,8 @@
 			boolean takesRelays = in.available() > 0 && in.readBoolean();
 			List<String> lostServices = (in.available() > 0) ? readNames(in) : List.of();
 			return Optional.of(new PeerMessage(sender, dataCentre, sent, echo, configuration, loads, slowdownFactors,
-					unreachableEndpoints, limits, registrations, storeReachable, takesRelays, lostServices));
+					unreachableEndpoints, limits, registrations, storeReachable, takesRelays, lostServices,
+					readExtensions(in)));
 		}
 		catch (IOException ex) {
 			// Any process may send to the port, so bytes that are not a message are no
@@ -192,6 +203,20 @@
 		return names;
 	}
 
+	private static Map<Integer, byte[]> readExtensions(DataInputStream in) throws IOException {
+		Map<Integer, byte[]> extensions = new HashMap<>();
+		if (in.available() == 0) {
+			return extensions;
+		}
+		for (int left = in.readUnsignedShort(); left > 0; left--) {
+			int tag = in.readUnsignedByte();
+			byte[] content = new byte[in.readUnsignedShort()];
+			in.readFully(content);
+			extensions.put(tag, content);
+		}
+		return extensions;
+	}
+
 	private static Map<String, EndpointLimits.Statement> readLimits(DataInputStream in) throws IOException {
 		Map<String, EndpointLimits.Statement> limits = new HashMap<>();
 		if (in.available() == 0) {
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
@@ -327,7 +327,7 @@
 			}
 			PeerMessage message = new PeerMessage(this.name, this.dataCentre, nowNanos(), 0, TopicPosition.UNKNOWN,
 					new HashMap<>(), Map.of(), List.of(), this.limits.ownStatements(nowNanos()), TopicPosition.UNKNOWN,
-					true, true, List.of());
+					true, true, List.of(), Map.of());
 			for (Daemon other : SharedEndpointLimitTests.this.daemons.values()) {
 				if (other != this && (includeRemote || other.dataCentre.equals(this.dataCentre))) {
 					at(now + 1 + SharedEndpointLimitTests.this.random.nextInt(4), () -> other.receive(message));
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/PeerTableTests.java
@@ -28,7 +28,7 @@
 
 	private static PeerMessage message(String sender, long echoNanos, long ageNanos, Map<String, Load> loads) {
 		return new PeerMessage(sender, "a", 77, echoNanos, new TopicPosition(12, ageNanos, 3), loads, Map.of("e2", 4.5),
-				List.of("e1"), Map.of(), new TopicPosition(40, 8, 3), true, true, List.of("model"));
+				List.of("e1"), Map.of(), new TopicPosition(40, 8, 3), true, true, List.of("model"), Map.of());
 	}
 
 	@Test
@@ -39,10 +39,11 @@
 
 	@Test
 	void aDecodedMessageHasTheLimitsOfEndpointsAndTheirEnds() {
-		PeerMessage message = new PeerMessage(
-				"b", "a", 77, 5, new TopicPosition(12, 6, 2), Map.of(), Map.of(), List.of(), Map.of("e1",
-						new Statement(OptionalDouble.of(2.5), 300), "e2", new Statement(OptionalDouble.empty(), 4_000)),
-				TopicPosition.UNKNOWN, false, false, List.of());
+		PeerMessage message = new PeerMessage("b", "a", 77, 5, new TopicPosition(12, 6, 2), Map.of(), Map.of(),
+				List.of(),
+				Map.of("e1", new Statement(OptionalDouble.of(2.5), 300), "e2",
+						new Statement(OptionalDouble.empty(), 4_000)),
+				TopicPosition.UNKNOWN, false, false, List.of(), Map.of());
 		assertThat(PeerMessage.decode(message.encode())).contains(message);
 	}
 
@@ -50,7 +51,7 @@
 	void aDaemonThatDoesNotTellWhetherItTakesRequestsOfOthersTakesNone() {
 		PeerMessage message = message("b", 5, 6, Map.of());
 		byte[] encoded = message.encode();
-		int relayBytes = 1 + Short.BYTES + Short.BYTES + "model".length();
+		int relayBytes = 1 + Short.BYTES + Short.BYTES + "model".length() + Short.BYTES;
 		PeerMessage old = PeerMessage.decode(Arrays.copyOf(encoded, encoded.length - relayBytes)).orElseThrow();
 		assertThat(old.storeReachable()).isTrue();
 		assertThat(old.takesRelays()).isFalse();
@@ -60,15 +61,27 @@
 	@Test
 	void aMessageOfADaemonThatKnowsNeitherLimitsNorErasIsReadWithoutThem() {
 		PeerMessage expected = new PeerMessage("b", "a", 77, 5, new TopicPosition(12, 6, -1), Map.of(), Map.of(),
-				List.of(), Map.of(), TopicPosition.UNKNOWN, false, false, List.of());
+				List.of(), Map.of(), TopicPosition.UNKNOWN, false, false, List.of(), Map.of());
 		byte[] encoded = expected.encode();
-		int positionBytes = 3 * Long.BYTES + 2 + Short.BYTES;
+		int positionBytes = 3 * Long.BYTES + 2 + Short.BYTES + Short.BYTES;
 		byte[] withoutPosition = Arrays.copyOf(encoded, encoded.length - positionBytes);
 		assertThat(PeerMessage.decode(withoutPosition)).contains(expected);
 		byte[] withoutLimits = Arrays.copyOf(withoutPosition, withoutPosition.length - Short.BYTES - Long.BYTES);
 		assertThat(PeerMessage.decode(withoutLimits)).contains(expected);
 	}
 
+	@Test
+	void anExtensionIsReadByItsTagAndMissingInAMessageOfAnEarlierRelease() {
+		PeerMessage message = new PeerMessage("b", "a", 77, 5, TopicPosition.UNKNOWN, Map.of(), Map.of(), List.of(),
+				Map.of(), TopicPosition.UNKNOWN, true, true, List.of(), Map.of(200, new byte[] { 4, 5 }));
+		byte[] encoded = message.encode();
+		assertThat(PeerMessage.decode(encoded).orElseThrow().extensions().get(200)).containsExactly(4, 5);
+		int extensionBytes = Short.BYTES + 1 + Short.BYTES + 2;
+		PeerMessage old = PeerMessage.decode(Arrays.copyOf(encoded, encoded.length - extensionBytes)).orElseThrow();
+		assertThat(old.extensions()).isEmpty();
+		assertThat(old.takesRelays()).isTrue();
+	}
+
 	@Test
 	void theEchoOfAnEncodedMessageCanBeSetForEachReceiver() {
 		byte[] encoded = message("b", 0, 6, Map.of("e", new Load(9_000, 3, 1))).encode();
@@ -116,7 +129,7 @@
 		for (int peer = 0; peer < 78; peer++) {
 			PeerMessage message = new PeerMessage("p" + peer, (peer < 26) ? "a" : "b", 77, 0, TopicPosition.UNKNOWN,
 					Map.of("e", new Load(10, 1, 0)), Map.of(), List.of(), Map.of(), TopicPosition.UNKNOWN, true, true,
-					List.of());
+					List.of(), Map.of());
 			this.table.onMessage(message, ADDRESS, 0);
 		}
 		assertThat(this.table.totalLoads(TimeUnit.MILLISECONDS.toNanos(2_400)).daemonCount()).isEqualTo(78);
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/SharedStoreReadingTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/peer/SharedStoreReadingTests.java
@@ -350,7 +350,7 @@
 							echoes.getOrDefault(other.name, 0L), feed("config").position(0, nowNanos()), Map.of(),
 							Map.of(), List.of(), Map.of(), feed("endpoints")
 								.position(PeerExchange.REGISTRATION_INTERVALS.currentNanos(this.reading), nowNanos()),
-							reachable, false, List.of());
+							reachable, false, List.of(), Map.of());
 					schedule(1 + SharedStoreReadingTests.this.random.nextInt(4), () -> other.onMessage(message));
 				}
 			}
