Close gaps in the placement by shifting neighbours, and plan for losses

After 4 of 28 engines had ended, layer 79 had no replica for 5.5 s: a gap was closed only by moving a whole engine within its data centre, an engine known to be lost only from faults counted for 1.2 s more, and the largest engines of all data centres held the same layers.

- GapRepair divides a gap among engines that extend or shift their ranges by a few layers, across data centres where the own one cannot close it in time.
It releases only layers of which the group has another loaded replica, keeps the fastest engine of a layer where possible, and leaves memory for streams.
- An engine that refused a connection is left out at once.
One that does not respond is suspected: its layers do not count and it gets no order.
- The first plan puts the largest engines on different layers in each data centre and leaves no single-layer remainders.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -133,7 +133,10 @@
 	ORDER_OUTCOME(8403, Level.INFO),
 
 	/** The set of layers that no usable engine of a data centre holds has changed. */
-	LAYERS_MISSING(8404, Level.WARNING);
+	LAYERS_MISSING(8404, Level.WARNING),
+
+	/** The engines whose layers do not count since they do not respond have changed. */
+	ENGINES_SUSPECTED(8410, Level.WARNING);
 
 	private final int number;
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointFaults.java
@@ -241,6 +241,18 @@
 		return false;
 	}
 
+	/**
+	 * Tells whether an endpoint is avoided because its process ended or does not respond,
+	 * by the observation of this daemon or of another one.
+	 * @param id identity of the endpoint
+	 * @param nowNanos the current time in ns
+	 * @return whether the backoff of the last such fault has not ended
+	 */
+	public boolean isUnreachable(String id, long nowNanos) {
+		Fault fault = this.faults.get(FaultKind.UNREACHABLE).get(id);
+		return fault != null && fault.isAvoided(nowNanos);
+	}
+
 	/**
 	 * Tells whether an endpoint has been unreachable for so long that its layers should
 	 * be placed elsewhere.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 import org.comfreyslip.entry.model.AcceleratorKind;
 import org.comfreyslip.entry.model.EngineSpec;
@@ -16,7 +17,8 @@
  * Plans which layers each host holds. The hosts of a data centre together hold all layers
  * where their memory allows it, because otherwise the activations of every token cross
  * the link between data centres. Beyond one replica of each layer, ranges overlap, so
- * that another path remains when a host is lost; the rest of the memory is KV cache.
+ * that another path remains when a host is lost; the rest of the memory is KV cache. The
+ * load that it addresses is the loss of several hosts at once.
  */
 public final class LayerPlanner {
 
@@ -32,120 +34,292 @@
 	 */
 	static final double MAX_WEIGHT_SHARE = 0.8;
 
-	private LayerPlanner() {
+	/**
+	 * Share of its planned layers below which an engine's range is extended once no layer
+	 * is missing. A repair may leave an engine with a few layers.
+	 */
+	private static final double SMALL_RANGE_SHARE = 0.5;
+
+	/** Factor on the median number of layers from which an engine counts as large. */
+	private static final double LARGE_ENGINE_FACTOR = 1.5;
+
+	/**
+	 * Longest run of layers between two ranges that a plan avoids, if others are equal.
+	 */
+	private static final int SHORT_RUN = 2;
+
+	/**
+	 * Replicas on large engines that are accepted to avoid a short run, for each layer.
+	 */
+	private static final int SHORT_RUN_COST = 1;
+
+	/** Passes over the first plan that remove layers with fewer replicas. */
+	private static final int SMOOTHING_PASSES = 4;
+
+	/** Shifts of a range that are tried to remove a single-layer remainder. */
+	private static final int[] SMOOTHING_SHIFTS = { 1, -1, 2, -2, 3, -3 };
+
+	private final EngineSpec engine;
+
+	private final List<PlacementGroup> groups = new ArrayList<>();
+
+	/** The ranges to order, by identity of the endpoint. */
+	private final Map<String, LayerRange> orders = new HashMap<>();
+
+	private LayerPlanner(EngineSpec engine, List<EnginePlacement> placements) {
+		this.engine = engine;
+		for (List<EnginePlacement> group : groupByDataCentre(engine, placements)) {
+			this.groups.add(new PlacementGroup(engine, group, computeWeightShare(engine, group)));
+		}
 	}
 
 	/**
-	 * Plans layers for hosts that hold none. While a layer has no replica, also moves
-	 * hosts whose layers all have other replicas.
+	 * Plans layers for hosts that hold none, and closes gaps: layers that no host of a
+	 * group holds.
 	 * @param engine the model engine: its layers, their size and the accelerator kinds
 	 * @param placements the current placements on hosts that are alive and not leaving
 	 * @return the ranges to order, by identity of the endpoint; empty if nothing changes
 	 */
 	public static Map<String, LayerRange> plan(EngineSpec engine, List<EnginePlacement> placements) {
-		Map<String, LayerRange> orders = new HashMap<>();
-		for (List<EnginePlacement> group : groupByDataCentre(engine, placements)) {
-			planGroup(engine, group, orders);
+		LayerPlanner planner = new LayerPlanner(engine, placements);
+		planner.planAll();
+		return planner.orders;
+	}
+
+	private void planAll() {
+		placeFirst();
+		closeGapsOfAllGroups();
+		this.groups.forEach(this::placeEmptyEngines);
+		this.groups.forEach(this::closeGaps);
+		if (this.orders.isEmpty()) {
+			this.groups.forEach(this::extendSmallRange);
 		}
-		return orders;
 	}
 
-	private static void planGroup(EngineSpec engine, List<EnginePlacement> group, Map<String, LayerRange> orders) {
-		double weightShare = computeWeightShare(engine, group);
-		int[] replicas = new int[engine.layers()];
-		int[] loadedReplicas = new int[engine.layers()];
-		List<EnginePlacement> emptyEngines = new ArrayList<>();
-		for (EnginePlacement placement : group) {
-			if (placement.layers().isPresent()) {
-				addReplicas(replicas, placement.layers().get(), 1);
-				if (!placement.orderPending()) {
-					addReplicas(loadedReplicas, placement.layers().get(), 1);
+	// The largest engines of all groups get different layers where possible: they carry
+	// most streams and may fail together.
+	private void placeFirst() {
+		int[] sizes = this.groups.stream()
+			.flatMapToInt((group) -> group.placements().stream().mapToInt(group::plannedSize))
+			.sorted()
+			.toArray();
+		int[] largeReplicas = new int[this.engine.layers()];
+		for (PlacementGroup group : this.groups) {
+			if (group.isUnplaced()) {
+				for (EnginePlacement placement : largestFirst(group)) {
+					int size = group.plannedSize(placement);
+					boolean large = size > LARGE_ENGINE_FACTOR * sizes[sizes.length / 2];
+					LayerRange range = leastCovered(group.replicas(), size,
+							(large) ? largeReplicas : new int[this.engine.layers()]);
+					order(group, placement, range);
+					PlacementGroup.add(largeReplicas, range, (large) ? 1 : 0);
 				}
-			}
-			else {
-				emptyEngines.add(placement);
+				smooth(group);
 			}
 		}
-		// The ranges of one data centre are adjacent, so that a path seldom changes it.
-		emptyEngines.sort(Comparator.comparing(EnginePlacement::dataCentre)
-			.thenComparingInt((placement) -> -layerCapacity(engine, placement, weightShare))
-			.thenComparing(EnginePlacement::id));
-		for (EnginePlacement placement : emptyEngines) {
-			int size = layerCapacity(engine, placement, weightShare);
-			if (size > 0) {
-				LayerRange range = leastCovered(replicas, size);
-				addReplicas(replicas, range, 1);
-				orders.put(placement.id(), range);
+	}
+
+	// Removes single layers that fewer ranges reach than their neighbours, by extending a
+	// range that ends there.
+	private void smooth(PlacementGroup group) {
+		for (int pass = 0; pass < SMOOTHING_PASSES; pass++) {
+			for (int layer = 0; layer < this.engine.layers(); layer++) {
+				if (isSingleLayerRemainder(group.replicas(), layer)) {
+					extendOver(group, layer);
+				}
 			}
 		}
-		moveRedundantEngines(engine, group, new Coverage(replicas, loadedReplicas), weightShare, orders);
 	}
 
-	// Moves engines whose layers all have other replicas. A move that leaves another
-	// layer without a replica would start a chain of moves.
-	private static void moveRedundantEngines(EngineSpec engine, List<EnginePlacement> group, Coverage coverage,
-			double weightShare, Map<String, LayerRange> orders) {
-		LayerRange all = new LayerRange(0, engine.layers());
-		while (countUncovered(coverage.replicas(), all) > 0) {
-			Optional<EnginePlacement> best = findBestMove(engine, group, coverage, weightShare, orders);
-			if (best.isEmpty()) {
-				return;
+	/**
+	 * Tells whether a layer has fewer replicas than each of its neighbours.
+	 * @param replicas replicas by layer
+	 * @param layer the layer
+	 * @return whether only a part of the ranges around it reaches it
+	 */
+	static boolean isSingleLayerRemainder(int[] replicas, int layer) {
+		boolean lowerThanPrevious = layer == 0 || replicas[layer] < replicas[layer - 1];
+		boolean lowerThanNext = layer + 1 == replicas.length || replicas[layer] < replicas[layer + 1];
+		return replicas.length > 1 && lowerThanPrevious && lowerThanNext;
+	}
+
+	// Extends a range that ends at the layer, shifts it, or extends it into the memory
+	// that a plan otherwise leaves to the KV cache, in this order.
+	private void extendOver(PlacementGroup group, int layer) {
+		List<EnginePlacement> adjacent = group.placements().stream().filter((placement) -> {
+			LayerRange range = this.orders.get(placement.id());
+			return range != null && range.size() > 0 && (range.to() == layer || range.from() == layer + 1);
+		}).toList();
+		boolean done = adjacent.stream().anyMatch((placement) -> extend(group, placement, layer, true))
+				|| IntStream.of(SMOOTHING_SHIFTS)
+					.anyMatch((shift) -> adjacent.stream().anyMatch((placement) -> shift(group, placement, shift)))
+				|| adjacent.stream().anyMatch((placement) -> extend(group, placement, layer, false));
+		if (!done) {
+			adjacent.stream().anyMatch((placement) -> shiftWithNeighbour(group, placement, layer));
+		}
+	}
+
+	private boolean extend(PlacementGroup group, EnginePlacement placement, int layer, boolean asPlanned) {
+		LayerRange range = this.orders.get(placement.id());
+		int largest = (asPlanned) ? group.largestPlannedSize(placement) : GapRepair.maxLayers(this.engine, placement);
+		return range.size() < largest && improves(group, Map.of(placement.id(), extended(range, layer)));
+	}
+
+	private boolean shift(PlacementGroup group, EnginePlacement placement, int shift) {
+		LayerRange range = this.orders.get(placement.id());
+		int from = range.from() + shift;
+		return from >= 0 && from + range.size() <= this.engine.layers()
+				&& improves(group, Map.of(placement.id(), new LayerRange(from, from + range.size())));
+	}
+
+	// Shifts a range towards the layer, and extends another one over the layer that it
+	// leaves.
+	private boolean shiftWithNeighbour(PlacementGroup group, EnginePlacement placement, int layer) {
+		LayerRange range = this.orders.get(placement.id());
+		int shift = (range.to() == layer) ? 1 : -1;
+		int released = (shift > 0) ? range.from() : range.to() - 1;
+		for (EnginePlacement other : group.placements()) {
+			LayerRange neighbour = this.orders.get(other.id());
+			if (other != placement && neighbour != null && neighbour.size() > 0
+					&& (neighbour.to() == released || neighbour.from() == released + 1)
+					&& neighbour.size() < GapRepair.maxLayers(this.engine, other)
+					&& improves(group, Map.of(placement.id(), new LayerRange(range.from() + shift, range.to() + shift),
+							other.id(), extended(neighbour, released)))) {
+				return true;
 			}
-			addReplicas(coverage.replicas(), best.get().layers().orElseThrow(), -1);
-			addReplicas(coverage.loadedReplicas(), best.get().layers().orElseThrow(), -1);
-			LayerRange range = leastCovered(coverage.replicas(), layerCapacity(engine, best.get(), weightShare));
-			addReplicas(coverage.replicas(), range, 1);
-			orders.put(best.get().id(), range);
 		}
+		return false;
+	}
+
+	private static LayerRange extended(LayerRange range, int layer) {
+		return new LayerRange(Math.min(range.from(), layer), Math.max(range.to(), layer + 1));
+	}
+
+	// Changes planned ranges if that leaves fewer single-layer remainders and no layer
+	// with fewer replicas than any had before.
+	private boolean improves(PlacementGroup group, Map<String, LayerRange> changes) {
+		int[] changed = group.replicas().clone();
+		changes.forEach((id, range) -> {
+			PlacementGroup.add(changed, this.orders.get(id), -1);
+			PlacementGroup.add(changed, range, 1);
+		});
+		int leastBefore = IntStream.of(group.replicas()).min().orElse(0);
+		if (countRemainders(changed) >= countRemainders(group.replicas())
+				|| IntStream.of(changed).min().orElse(0) < leastBefore) {
+			return false;
+		}
+		System.arraycopy(changed, 0, group.replicas(), 0, changed.length);
+		this.orders.putAll(changes);
+		return true;
+	}
+
+	private static long countRemainders(int[] replicas) {
+		return IntStream.range(0, replicas.length).filter((layer) -> isSingleLayerRemainder(replicas, layer)).count();
 	}
 
-	// The fastest engine of a range carries most streams, so moving it costs them twice:
-	// they are broken off, and continue on slower hosts.
-	private static Optional<EnginePlacement> findBestMove(EngineSpec engine, List<EnginePlacement> group,
-			Coverage coverage, double weightShare, Map<String, LayerRange> orders) {
-		List<EnginePlacement> movable = group.stream()
-			.filter((placement) -> placement.layers().isPresent() && !placement.orderPending()
-					&& !orders.containsKey(placement.id()))
+	// The ranges of one data centre are adjacent, so that a path seldom changes it.
+	private List<EnginePlacement> largestFirst(PlacementGroup group) {
+		return group.placements()
+			.stream()
+			.filter((placement) -> placement.layers().isEmpty() && !placement.suspected()
+					&& !this.orders.containsKey(placement.id()) && group.plannedSize(placement) > 0)
+			.sorted(Comparator.comparing(EnginePlacement::dataCentre)
+				.thenComparingInt((placement) -> -group.plannedSize(placement))
+				.thenComparing(EnginePlacement::id))
 			.toList();
-		Move best = null;
-		for (EnginePlacement placement : movable) {
-			if (!isRedundant(coverage.loadedReplicas(), placement.layers().get())) {
-				continue;
+	}
+
+	private void placeEmptyEngines(PlacementGroup group) {
+		for (EnginePlacement placement : largestFirst(group)) {
+			order(group, placement,
+					leastCovered(group.replicas(), group.plannedSize(placement), new int[this.engine.layers()]));
+		}
+	}
+
+	private void order(PlacementGroup group, EnginePlacement placement, LayerRange range) {
+		group.recordOrder(placement, range);
+		this.orders.put(placement.id(), range);
+	}
+
+	// Layers that no engine of any group holds stop all streams. Engines of other groups
+	// help where a group cannot close the gap, or only much later.
+	private void closeGapsOfAllGroups() {
+		int[] replicas = new int[this.engine.layers()];
+		for (PlacementGroup group : this.groups) {
+			for (int layer = 0; layer < replicas.length; layer++) {
+				replicas[layer] += group.replicas()[layer];
+			}
+		}
+		for (LayerRange gap : PlacementGroup.runsUpTo(replicas, 0)) {
+			GapRepair.Repair best = null;
+			List<PlacementGroup> bestGroups = List.of();
+			for (PlacementGroup group : this.groups) {
+				Optional<GapRepair.Repair> repair = findRepair(gap, List.of(group), true);
+				if (repair.isPresent() && (best == null || repair.get().isBetterThan(best))) {
+					best = repair.get();
+					bestGroups = List.of(group);
+				}
+			}
+			if ((best == null || !best.inTime()) && this.groups.size() > 1) {
+				Optional<GapRepair.Repair> repair = findRepair(gap, this.groups, true);
+				if (repair.isPresent() && (best == null || repair.get().isBetterThan(best))) {
+					best = repair.get();
+					bestGroups = this.groups;
+				}
 			}
-			int newlyCoveredLayers = countUncovered(coverage.replicas(),
-					leastCovered(coverage.replicas(), layerCapacity(engine, placement, weightShare)));
-			Move move = new Move(placement, stepFactorIncrease(placement, movable), newlyCoveredLayers);
-			if (newlyCoveredLayers > 0 && (best == null || move.compareTo(best) < 0)) {
-				best = move;
+			if (best != null) {
+				apply(best, bestGroups);
 			}
 		}
-		return Optional.ofNullable(best).map(Move::placement);
 	}
 
-	// Returns how much slower the layers of an engine run on the fastest other engines
-	// that hold them, as the sum of the differences of the step factor over its layers.
-	private static double stepFactorIncrease(EnginePlacement placement, List<EnginePlacement> movable) {
-		double sum = 0;
-		LayerRange range = placement.layers().orElseThrow();
-		for (int layer = range.from(); layer < range.to(); layer++) {
-			double fastest = Double.MAX_VALUE;
-			for (EnginePlacement other : movable) {
-				if (other != placement && other.layers().orElseThrow().contains(layer)) {
-					fastest = Math.min(fastest, other.kind().stepFactor());
-				}
+	private void closeGaps(PlacementGroup group) {
+		if (group.isUnplaced()) {
+			return;
+		}
+		for (LayerRange gap : PlacementGroup.runsUpTo(group.replicas(), 0)) {
+			findRepair(gap, List.of(group), false).ifPresent((repair) -> apply(repair, List.of(group)));
+		}
+	}
+
+	private Optional<GapRepair.Repair> findRepair(LayerRange gap, List<PlacementGroup> among, boolean stopsStreams) {
+		return new GapRepair(this.engine, among, this.orders.keySet()).find(gap, stopsStreams);
+	}
+
+	private void apply(GapRepair.Repair repair, List<PlacementGroup> among) {
+		for (GapRepair.Step step : repair.steps()) {
+			order(among.get(step.candidate().group()), step.candidate().placement(), step.range());
+		}
+	}
+
+	// Extends one engine at a time, since it has less KV cache for its streams
+	// afterwards.
+	private void extendSmallRange(PlacementGroup group) {
+		if (group.placements().stream().anyMatch(EnginePlacement::orderPending)) {
+			return;
+		}
+		for (EnginePlacement placement : group.placements()) {
+			int held = placement.layers().map(LayerRange::size).orElse(0);
+			int size = Math.min(group.plannedSize(placement), GapRepair.maxLayers(this.engine, placement));
+			if (held > 0 && held <= SMALL_RANGE_SHARE * size && !placement.suspected()) {
+				order(group, placement, leastCoveredAround(group.replicas(), placement.layers().get(), size));
+				return;
 			}
-			sum += Math.max(0, fastest - placement.kind().stepFactor());
 		}
-		return sum;
 	}
 
-	private static boolean isRedundant(int[] replicas, LayerRange range) {
-		for (int layer = range.from(); layer < range.to(); layer++) {
-			if (replicas[layer] < 2) {
-				return false;
+	private static LayerRange leastCoveredAround(int[] replicas, LayerRange held, int size) {
+		LayerRange best = held;
+		int bestSum = Integer.MAX_VALUE;
+		int last = Math.min(held.from(), replicas.length - size);
+		for (int from = Math.max(0, held.to() - size); from <= last; from++) {
+			int sum = sum(replicas, new LayerRange(from, from + size));
+			if (sum < bestSum) {
+				best = new LayerRange(from, from + size);
+				bestSum = sum;
 			}
 		}
-		return true;
+		return best;
 	}
 
 	private static double computeWeightShare(EngineSpec engine, List<EnginePlacement> group) {
@@ -161,45 +335,58 @@
 		return Math.min(MAX_WEIGHT_SHARE, Math.max(MIN_REPLICAS * engine.layers() / layers, shareBesideFullSlots));
 	}
 
-	private static int layerCapacity(EngineSpec engine, EnginePlacement placement, double weightShare) {
-		long size = Math.round(placement.kind().memoryMb() * weightShare / engine.layerMb());
-		return (int) Math.min(size, engine.maxLayers(placement.kind()));
-	}
-
-	// Returns the range of the given size that covers most layers without a replica and,
-	// among equals, has the fewest replicas.
-	private static LayerRange leastCovered(int[] replicas, int size) {
+	// Returns the range of the given size that covers most layers with the fewest
+	// replicas and, among equals, has the fewest replicas, then the fewest others to be
+	// avoided.
+	private static LayerRange leastCovered(int[] replicas, int size, int[] avoided) {
+		int least = IntStream.of(replicas).min().orElse(0);
 		LayerRange best = new LayerRange(0, size);
-		int bestUncovered = -1;
+		int bestLeast = -1;
 		int bestReplicas = Integer.MAX_VALUE;
+		int bestAvoided = Integer.MAX_VALUE;
 		for (int from = 0; from + size <= replicas.length; from++) {
 			LayerRange range = new LayerRange(from, from + size);
-			int uncovered = countUncovered(replicas, range);
-			int replicaSum = 0;
+			int leastCount = 0;
 			for (int layer = range.from(); layer < range.to(); layer++) {
-				replicaSum += replicas[layer];
+				leastCount += (replicas[layer] == least) ? 1 : 0;
 			}
-			if (uncovered > bestUncovered || (uncovered == bestUncovered && replicaSum < bestReplicas)) {
+			int replicaSum = sum(replicas, range);
+			int avoidedSum = sum(avoided, range)
+					+ ((leavesShortRun(replicas, range, least)) ? SHORT_RUN_COST * size : 0);
+			boolean better = (leastCount != bestLeast) ? leastCount > bestLeast
+					: (replicaSum != bestReplicas) ? replicaSum < bestReplicas : avoidedSum < bestAvoided;
+			if (better) {
 				best = range;
-				bestUncovered = uncovered;
+				bestLeast = leastCount;
 				bestReplicas = replicaSum;
+				bestAvoided = avoidedSum;
 			}
 		}
 		return best;
 	}
 
-	private static int countUncovered(int[] replicas, LayerRange range) {
-		int uncovered = 0;
-		for (int layer = range.from(); layer < range.to(); layer++) {
-			uncovered += (replicas[layer] == 0) ? 1 : 0;
+	// Tells whether a range leaves only a few layers with the fewest replicas beside it,
+	// for which other engines would give up more layers than they gain.
+	private static boolean leavesShortRun(int[] replicas, LayerRange range, int least) {
+		int before = range.from();
+		while (before > 0 && replicas[before - 1] == least) {
+			before--;
 		}
-		return uncovered;
+		int after = range.to();
+		while (after < replicas.length && replicas[after] == least) {
+			after++;
+		}
+		int runBefore = range.from() - before;
+		int runAfter = after - range.to();
+		return (runBefore > 0 && runBefore <= SHORT_RUN) || (runAfter > 0 && runAfter <= SHORT_RUN);
 	}
 
-	private static void addReplicas(int[] replicas, LayerRange range, int delta) {
+	private static int sum(int[] replicas, LayerRange range) {
+		int sum = 0;
 		for (int layer = range.from(); layer < range.to(); layer++) {
-			replicas[layer] += delta;
+			sum += replicas[layer];
 		}
+		return sum;
 	}
 
 	// Returns the data centres that can hold the model alone, and one group of all
@@ -234,39 +421,6 @@
 		return layers >= engine.layers();
 	}
 
-	/**
-	 * Number of replicas of each layer in a group, by layer.
-	 *
-	 * @param replicas replicas that are loaded or being loaded
-	 * @param loadedReplicas replicas that are loaded
-	 */
-	private record Coverage(int[] replicas, int[] loadedReplicas) {
-	}
-
-	/**
-	 * A move of an engine to other layers. The natural order begins with the move that
-	 * disturbs streams least.
-	 *
-	 * @param placement the placement that would change
-	 * @param stepFactorIncrease how much slower its layers run on other engines, summed
-	 * over the layers in units of the step factor
-	 * @param newlyCoveredLayers number of layers without a replica that it would hold
-	 * after the move
-	 */
-	private record Move(EnginePlacement placement, double stepFactorIncrease,
-			int newlyCoveredLayers) implements Comparable<Move> {
-
-		@Override
-		public int compareTo(Move other) {
-			return Comparator.comparingDouble(Move::stepFactorIncrease)
-				.thenComparingInt((move) -> move.placement().streamCount())
-				.thenComparingInt((move) -> -move.newlyCoveredLayers())
-				.thenComparing((move) -> move.placement().id())
-				.compare(this, other);
-		}
-
-	}
-
 	/**
 	 * The layers that one host holds now, and what the planner needs to know of the host.
 	 *
@@ -276,9 +430,26 @@
 	 * @param layers the layers that it holds or is loading; empty if none
 	 * @param orderPending whether an order to it is still in progress
 	 * @param streamCount number of streams that run through it
+	 * @param suspected whether it does not respond, so that its layers do not count and
+	 * it gets no orders
 	 */
 	public record EnginePlacement(String id, String dataCentre, AcceleratorKind kind, Optional<LayerRange> layers,
-			boolean orderPending, int streamCount) {
+			boolean orderPending, int streamCount, boolean suspected) {
+
+		/**
+		 * Creates the placement of an engine that responds.
+		 * @param id identity of the engine's endpoint
+		 * @param dataCentre the data centre
+		 * @param kind the accelerator kind
+		 * @param layers the layers that it holds or is loading; empty if none
+		 * @param orderPending whether an order to it is still in progress
+		 * @param streamCount number of streams that run through it
+		 */
+		public EnginePlacement(String id, String dataCentre, AcceleratorKind kind, Optional<LayerRange> layers,
+				boolean orderPending, int streamCount) {
+			this(id, dataCentre, kind, layers, orderPending, streamCount, false);
+		}
+
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -52,6 +54,12 @@
 	 */
 	private static final long RETRY_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/**
+	 * Largest share of the engines of a service that may be suspected at a time. If more
+	 * do not respond, this daemon's own network is the likelier cause.
+	 */
+	private static final double MAX_SUSPECTED_SHARE = 0.34;
+
 	private final EndpointDirectory directory;
 
 	private final EndpointFaults faults;
@@ -71,6 +79,9 @@
 	/** Layers that were missing in the last round, by service and data centre. */
 	private final Map<String, String> missingLayers = new HashMap<>();
 
+	/** Engines that were suspected in the last round, by service. */
+	private final Map<String, Set<String>> suspectedEngines = new HashMap<>();
+
 	/** Elapsed time in ns at which the leadership began; -1 without leadership. */
 	private long leaderSinceNanos = -1;
 
@@ -144,16 +155,18 @@
 	private void orderService(String service, EngineSpec engine, long nowNanos, long steadyNanos) {
 		Map<String, Endpoint> byId = new HashMap<>();
 		List<LayerPlanner.EnginePlacement> placements = new ArrayList<>();
+		Set<String> suspected = findSuspected(service, steadyNanos);
 		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
 			AcceleratorKind kind = endpoint.accelerator().map(engine.kinds()::get).orElse(null);
-			if (kind == null || this.faults.isPersistentlyFaulty(endpoint.id(), steadyNanos)) {
+			if (kind == null || isLost(endpoint, steadyNanos)) {
 				continue;
 			}
 			PendingOrder order = this.pendingOrders.get(endpoint.id());
 			Optional<LayerRange> layers = (order != null) ? Optional.of(order.range()) : endpoint.layers();
 			byId.put(endpoint.id(), endpoint);
-			placements.add(new LayerPlanner.EnginePlacement(endpoint.id(), endpoint.dataCentre(), kind, layers,
-					order != null, this.loads.totalLoad(endpoint.id()).streamCount()));
+			placements
+				.add(new LayerPlanner.EnginePlacement(endpoint.id(), endpoint.dataCentre(), kind, layers, order != null,
+						this.loads.totalLoad(endpoint.id()).streamCount(), suspected.contains(endpoint.id())));
 		}
 		if (isStillGrowing(placements, nowNanos)) {
 			return;
@@ -163,6 +176,31 @@
 		orders.forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
 	}
 
+	// The registration of an engine whose process has ended remains until it expires.
+	private boolean isLost(Endpoint endpoint, long steadyNanos) {
+		return this.faults.isPersistentlyFaulty(endpoint.id(), steadyNanos)
+				|| (this.faults.hasExitedUnexpectedly(endpoint.id())
+						&& this.faults.isUnreachable(endpoint.id(), steadyNanos));
+	}
+
+	// Returns the engines of a service that do not respond and are not lost for certain.
+	private Set<String> findSuspected(String service, long steadyNanos) {
+		List<Endpoint> endpoints = this.directory.usableEndpoints(service);
+		Set<String> suspected = new TreeSet<>();
+		for (Endpoint endpoint : endpoints) {
+			if (this.faults.isUnreachable(endpoint.id(), steadyNanos) && !isLost(endpoint, steadyNanos)) {
+				suspected.add(endpoint.id());
+			}
+		}
+		boolean tooMany = suspected.size() > MAX_SUSPECTED_SHARE * endpoints.size();
+		Set<String> before = this.suspectedEngines.put(service, suspected);
+		if (!suspected.equals((before != null) ? before : Set.of())) {
+			EntryLog.write(EntryEvent.ENGINES_SUSPECTED, service, "engines", suspected, "of", endpoints.size(),
+					"ignored", tooMany);
+		}
+		return (tooMany) ? Set.of() : suspected;
+	}
+
 	// Logs for each data centre the layers that no usable engine there holds or loads, if
 	// they have changed, and whether the plan orders anything.
 	private void logMissingLayers(String service, EngineSpec engine, List<LayerPlanner.EnginePlacement> placements,
@@ -171,7 +209,7 @@
 		for (LayerPlanner.EnginePlacement placement : placements) {
 			List<LayerRange> ranges = rangesByDataCentre.computeIfAbsent(placement.dataCentre(),
 					(name) -> new ArrayList<>());
-			placement.layers().ifPresent(ranges::add);
+			placement.layers().filter((range) -> !placement.suspected()).ifPresent(ranges::add);
 		}
 		rangesByDataCentre.forEach((dataCentre, ranges) -> {
 			String missing = new LayerCoverage(engine.layers(), ranges).missing();
--- /dev/null
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementReplayTests.java
@@ -0,0 +1,320 @@
+package org.comfreyslip.entry.layers;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.comfreyslip.entry.Samples;
+import org.comfreyslip.entry.fleet.EndpointDirectory;
+import org.comfreyslip.entry.fleet.EndpointFaults;
+import org.comfreyslip.entry.fleet.FaultKind;
+import org.comfreyslip.entry.model.AcceleratorKind;
+import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.model.EngineSpec;
+import org.comfreyslip.entry.model.LayerRange;
+import org.comfreyslip.entry.model.ServiceSpec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Replays the loss of 4 of 28 engines at 12.5 s and of 4 more at 15 s, in simulated time.
+ * The replay guards against layers that no engine holds for seconds while engines with
+ * memory for them are left, which stopped all streams for 5.5 s.
+ */
+class PlacementReplayTests {
+
+	private static final int LAYERS = 80;
+
+	private static final long FIRST_LOSS_MS = 12_500;
+
+	private static final long SECOND_LOSS_MS = 15_000;
+
+	private static final long REPLACEMENT_MS = 3_000;
+
+	/** Time until the streams through a lost engine have reported it. */
+	private static final long DETECTION_MS = 300;
+
+	/** Time between two planning rounds. */
+	private static final long ROUND_MS = 200;
+
+	/** The target: a path exists again 1 s after the first planning round. */
+	private static final long MAX_GAP_MS = DETECTION_MS + ROUND_MS + 1_000;
+
+	@ParameterizedTest
+	@EnumSource
+	void noLayerIsWithoutAReplicaForLongWhenTwoGroupsOfEnginesAreLost(Loss loss) {
+		for (int seed = 1; seed <= 50; seed++) {
+			Replay replay = new Replay(loss, seed);
+			replay.run();
+			assertThat(replay.longestGapMs).as("longest gap with seed %s", seed).isLessThanOrEqualTo(MAX_GAP_MS);
+			assertThat(replay.overfilled).as("engines ordered to hold more than fits").isEmpty();
+		}
+	}
+
+	// Orders stop an engine's batch and break off streams through released layers.
+	@Test
+	void eachEngineThatEndsOrStartsCausesAtMostOneOrderOnAverage() {
+		int orders = 0;
+		for (int seed = 1; seed <= 50; seed++) {
+			Replay replay = new Replay(Loss.RANDOM, seed);
+			replay.run();
+			orders += replay.lateOrders;
+		}
+		assertThat(orders / 50.0).isLessThanOrEqualTo(8 + 4);
+	}
+
+	/** Which engines end together. */
+	enum Loss {
+
+		/** Any. */
+		RANDOM,
+
+		/** Those with most layers. */
+		MOST_LAYERS,
+
+		/** Those of the fastest kinds, which carry most streams. */
+		FASTEST;
+
+		List<Engine> choose(List<Engine> alive, Random random) {
+			List<Engine> engines = new ArrayList<>(alive);
+			Collections.shuffle(engines, random);
+			switch (this) {
+				case MOST_LAYERS -> engines.sort(Comparator.comparingInt((Engine engine) -> -engine.held.size()));
+				case FASTEST -> engines.sort(Comparator.comparingDouble((Engine engine) -> engine.kind.stepFactor()));
+				case RANDOM -> {
+				}
+			}
+			return engines.subList(0, 4);
+		}
+
+	}
+
+	/** An engine of the simulation. */
+	private static final class Engine {
+
+		private final String id;
+
+		private final String dataCentre;
+
+		private final AcceleratorKind kind;
+
+		private LayerRange held = new LayerRange(0, 0);
+
+		private boolean busy;
+
+		private long orderCount;
+
+		Engine(String id, String dataCentre, AcceleratorKind kind) {
+			this.id = id;
+			this.dataCentre = dataCentre;
+			this.kind = kind;
+		}
+
+	}
+
+	private record Event(long atMs, long number, Runnable action) {
+	}
+
+	/** One run of the simulation. */
+	private static final class Replay implements EngineControl {
+
+		private final EngineSpec spec = Samples.engine();
+
+		private final List<ServiceSpec> services = List.of(new ServiceSpec("model", 100, Optional.of(this.spec)));
+
+		private final EndpointDirectory directory = new EndpointDirectory();
+
+		private final EndpointFaults faults = new EndpointFaults();
+
+		private final LeaderLease lease = new LeaderLease();
+
+		private final Map<String, Engine> alive = new HashMap<>();
+
+		private final Set<String> overfilled = new HashSet<>();
+
+		private final PriorityQueue<Event> events = new PriorityQueue<>(
+				Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+
+		private final PlacementCoordinator coordinator = new PlacementCoordinator(this.directory, this.faults,
+				new LayerLoads(new SplittableRandom(1)), this, this.lease, this::nowNanos);
+
+		private final Loss loss;
+
+		private final Random random;
+
+		private long nowMs;
+
+		private long heartbeat;
+
+		private long longestGapMs;
+
+		private long gapSinceMs = -1;
+
+		private int lateOrders;
+
+		Replay(Loss loss, int seed) {
+			this.loss = loss;
+			this.random = new Random(seed);
+			add("a", Samples.FAST, 1);
+			add("a", Samples.MIDDLE, 2);
+			add("a", Samples.SLOW, 4);
+			add("a", Samples.SMALL, 2);
+			add("b", Samples.MIDDLE, 2);
+			add("b", Samples.SLOW, 3);
+			add("b", Samples.SMALL, 4);
+			add("c", Samples.FAST, 1);
+			add("c", Samples.MIDDLE, 2);
+			add("c", Samples.SLOW, 3);
+			add("c", Samples.SMALL, 4);
+		}
+
+		private void add(String dataCentre, AcceleratorKind kind, int count) {
+			for (int index = 0; index < count; index++) {
+				start(new Engine(dataCentre + "-" + kind.name() + "-" + index, dataCentre, kind));
+			}
+		}
+
+		private void start(Engine engine) {
+			this.alive.put(engine.id, engine);
+			register(engine);
+		}
+
+		private void register(Engine engine) {
+			this.heartbeat++;
+			Endpoint sample = Samples.endpoint(engine.id, engine.dataCentre, engine.kind, engine.held);
+			this.directory
+				.register(new Endpoint(engine.id, 1, this.heartbeat, "model", sample.address(), engine.dataCentre,
+						false, sample.accelerator(), Optional.of(engine.held).filter((range) -> range.size() > 0)));
+		}
+
+		private long nowNanos() {
+			return TimeUnit.MILLISECONDS.toNanos(this.nowMs);
+		}
+
+		private void at(long timeMs, Runnable action) {
+			this.events.add(new Event(timeMs, this.events.size() + 1_000L * timeMs, action));
+		}
+
+		void run() {
+			at(FIRST_LOSS_MS, this::lose);
+			at(SECOND_LOSS_MS, this::lose);
+			for (long timeMs = 0; timeMs < 25_000; timeMs += ROUND_MS) {
+				at(timeMs, this::planRound);
+			}
+			while (!this.events.isEmpty()) {
+				Event event = this.events.poll();
+				this.nowMs = event.atMs();
+				event.action().run();
+				measureGap();
+			}
+		}
+
+		private void planRound() {
+			this.lease.onMembership(new LeaderElection.Membership(0, 7, true), nowNanos());
+			this.coordinator.planAndOrder(this.services, nowNanos(), nowNanos());
+		}
+
+		// Half of the engines end, the others go dark; registrations expire 2 s later.
+		private void lose() {
+			List<Engine> all = new ArrayList<>(this.alive.values());
+			all.sort(Comparator.comparing((engine) -> engine.id));
+			int number = 0;
+			for (Engine engine : List.copyOf(this.loss.choose(all, this.random))) {
+				this.alive.remove(engine.id);
+				boolean dark = number % 2 == 1;
+				for (long afterMs = DETECTION_MS; afterMs < 2_000; afterMs += 300) {
+					at(this.nowMs + afterMs, () -> recordFault(engine, dark));
+				}
+				at(this.nowMs + 2_000, () -> this.directory.remove(engine.id, false, nowNanos()));
+				if (number < 2) {
+					at(this.nowMs + REPLACEMENT_MS,
+							() -> start(new Engine(engine.id + "-new", engine.dataCentre, engine.kind)));
+				}
+				number++;
+			}
+		}
+
+		private void recordFault(Engine engine, boolean dark) {
+			if (dark) {
+				this.faults.recordFault(FaultKind.UNREACHABLE, engine.id, nowNanos());
+			}
+			else {
+				this.faults.recordConnectionRefused(engine.id, false, nowNanos());
+			}
+		}
+
+		private void measureGap() {
+			boolean[] held = new boolean[LAYERS];
+			for (Engine engine : this.alive.values()) {
+				for (int layer = engine.held.from(); layer < engine.held.to(); layer++) {
+					held[layer] = true;
+				}
+			}
+			boolean complete = true;
+			for (boolean one : held) {
+				complete &= one;
+			}
+			if (this.nowMs >= FIRST_LOSS_MS && !complete) {
+				this.gapSinceMs = (this.gapSinceMs < 0) ? this.nowMs : this.gapSinceMs;
+				this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.gapSinceMs);
+			}
+			else {
+				this.gapSinceMs = -1;
+			}
+		}
+
+		@Override
+		public void fetchReport(Endpoint endpoint, Consumer<Optional<Report>> callback) {
+			Engine engine = this.alive.get(endpoint.id());
+			at(this.nowMs + 20,
+					() -> callback.accept((engine != null)
+							? Optional
+								.of(new Report(Optional.of(engine.held), engine.orderCount, engine.busy, 1, List.of()))
+							: Optional.empty()));
+		}
+
+		@Override
+		public void orderLayers(Endpoint endpoint, LayerRange layers, long fencingToken, long expectedOrderCount,
+				Consumer<OrderOutcome> callback) {
+			Engine engine = this.alive.get(endpoint.id());
+			if (engine == null) {
+				at(this.nowMs + 500, () -> callback.accept(OrderOutcome.UNKNOWN));
+				return;
+			}
+			this.lateOrders += (this.nowMs >= FIRST_LOSS_MS) ? 1 : 0;
+			if (layers.size() > this.spec.maxLayers(engine.kind)) {
+				this.overfilled.add(engine.id);
+			}
+			engine.busy = true;
+			engine.orderCount++;
+			int keptFrom = Math.max(layers.from(), engine.held.from());
+			int kept = Math.max(0, Math.min(layers.to(), engine.held.to()) - keptFrom);
+			engine.held = (kept > 0) ? new LayerRange(keptFrom, keptFrom + kept) : new LayerRange(0, 0);
+			double loadMs = 1_000 * this.spec.loadSeconds() * (layers.size() - kept) / LAYERS;
+			at(this.nowMs + Math.round(loadMs), () -> {
+				engine.busy = false;
+				engine.held = layers;
+				if (this.alive.get(engine.id) == engine) {
+					register(engine);
+				}
+			});
+			at(this.nowMs + 10, () -> callback.accept(OrderOutcome.ACCEPTED));
+		}
+
+	}
+
+}
