Move the admission of requests by the configuration out of the router

RequestAdmission finds the route, checks the key, chooses the service and determines the priority, and has the records of the result. Router only passes it the configuration in force. No change of behaviour.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -82,7 +82,7 @@
 	private final List<String> sentTo = new ArrayList<>();
 
 	/** The admitted request, or null before admission. */
-	private Router.AdmittedRequest admitted;
+	private RequestAdmission.AdmittedRequest admitted;
 
 	/** Digest that only this request has when it is sent again. */
 	private String digest = "";
@@ -214,7 +214,7 @@
 			this.countedAsTaken = true;
 			this.router.recordRelay(EntryMetrics.Count.RELAYS_TAKEN);
 		}
-		Router.Admission admission = this.router.admit(this.callerRequest, this.requestFields);
+		RequestAdmission.Admission admission = this.router.admit(this.callerRequest, this.requestFields);
 		if (admission.refusal() != null) {
 			respond(admission.refusal(), Outcome.REFUSED, admission.reason());
 			return;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -16,8 +16,6 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.EntryMetrics;
@@ -35,10 +33,8 @@
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.layers.PathFinder;
-import org.comfreyslip.entry.model.ClientAccount;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
-import org.comfreyslip.entry.model.EngineSpec;
 import org.comfreyslip.entry.model.RequestLimits;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.ServiceSpec;
@@ -67,12 +63,6 @@
 	 */
 	static final long PROBE_INTERVAL_MS = 200;
 
-	/**
-	 * Age of the configuration, in ns, up to which a missing route or key is reported as
-	 * such (404 or 401) rather than as not known yet (503).
-	 */
-	private static final long MAX_CERTAIN_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
 	/**
 	 * Largest total size of the buffered request bodies, in bytes; a sixth of the memory
 	 * of the smallest process.
@@ -147,6 +137,8 @@
 
 	private final EndpointPool pool;
 
+	private final RequestAdmission admission;
+
 	private final ReachMonitor reachMonitor;
 
 	private final PeerRelays relays;
@@ -224,6 +216,7 @@
 		this.configurationFeed = configurationFeed;
 		this.engines = engines;
 		this.random = random;
+		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
 		this.reachMonitor = new ReachMonitor(loop, directory, random, this);
 		this.pool = new EndpointPool(loop, (head) -> headers.readResponse(head), this.reachMonitor);
@@ -600,56 +593,14 @@
 		EntryLog.write(EntryEvent.REQUEST_REJECTED, "unread", "status", status, "why", reason);
 	}
 
-	Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
-		if (this.configuration == null) {
-			return Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration yet", 1_000);
-		}
-		boolean certain = this.configurationFeed.ageNanos(this.clock.nanos()) < MAX_CERTAIN_AGE_NANOS;
-		Optional<Route> found = this.routeTable.find(request.host(), request.head().uri());
-		if (found.isEmpty()) {
-			return (certain) ? Admission.refuse(HttpResponseStatus.NOT_FOUND, "no such route", -1) : Admission
-				.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such route known yet", STALE_RETRY_MS);
-		}
-		Route route = found.get();
-		Optional<ClientAccount> account = Optional.empty();
-		if (!route.keyless() && this.configuration.keysRequired()) {
-			account = fields.apiKey().map(this.configuration.accountsByKey()::get);
-			if (account.isEmpty()) {
-				return (certain || fields.apiKey().isEmpty())
-						? Admission.refuse(HttpResponseStatus.UNAUTHORIZED, "the API key is not valid", -1)
-						: Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the API key is not known yet",
-								STALE_RETRY_MS);
-			}
-		}
-		ServiceSpec service = this.configuration.services().get(chooseService(route));
-		if (service == null) {
-			return Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the route has no service", 1_000);
-		}
-		int priority = account.filter((one) -> one.priority() >= 0)
-			.map(ClientAccount::priority)
-			.orElse(route.priority());
-		return Admission.admit(new AdmittedRequest(this.configuration.version(), route, service.name(),
-				service.engine(), account, priority));
-	}
-
-	private String chooseService(Route route) {
-		double total = 0;
-		for (Route.WeightedService service : route.services()) {
-			total += service.weight();
-		}
-		double point = this.random.nextDouble() * total;
-		for (Route.WeightedService service : route.services()) {
-			point -= service.weight();
-			if (point < 0) {
-				return service.service();
-			}
-		}
-		return route.services().get(route.services().size() - 1).service();
+	RequestAdmission.Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
+		return this.admission.admit(request, fields, this.configuration, this.routeTable,
+				this.configurationFeed.ageNanos(this.clock.nanos()));
 	}
 
 	// Checks again just before a send whether the API keys are fresh enough to accept the
 	// request.
-	boolean mayStillSend(AdmittedRequest admitted) {
+	boolean mayStillSend(RequestAdmission.AdmittedRequest admitted) {
 		return admitted.account().isEmpty() || areKeysFresh();
 	}
 
@@ -661,15 +612,16 @@
 		return this.plainSelector.choose(candidates, excluded, this.settings.dataCentre(), nowNanos);
 	}
 
-	Optional<LayerPath> findPath(AdmittedRequest admitted, int tokens, Predicate<Endpoint> allowedFirst,
-			long nowNanos) {
+	Optional<LayerPath> findPath(RequestAdmission.AdmittedRequest admitted, int tokens,
+			Predicate<Endpoint> allowedFirst, long nowNanos) {
 		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
 		return finder.find(usableEngines(admitted.service(), nowNanos), this.settings.dataCentre(), tokens,
 				allowedFirst.and((first) -> this.endpointLimits.maySend(first, nowNanos)), nowNanos);
 	}
 
 	// Returns the endpoints whose limits keep a request from being sent to them now.
-	List<Endpoint> heldBackEndpoints(AdmittedRequest admitted, Predicate<Endpoint> allowed, long nowNanos) {
+	List<Endpoint> heldBackEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
+			long nowNanos) {
 		if (!this.endpointLimits.isAnyInForce()) {
 			return List.of();
 		}
@@ -681,7 +633,8 @@
 
 	// Returns the endpoints that a request may be sent to, apart from limits and loads:
 	// for streams those that hold the first layer.
-	private List<Endpoint> receivingEndpoints(AdmittedRequest admitted, Predicate<Endpoint> allowed, long nowNanos) {
+	private List<Endpoint> receivingEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
+			long nowNanos) {
 		List<Endpoint> usable = (admitted.engine().isEmpty()) ? this.directory.usableEndpoints(admitted.service())
 				: usableEngines(admitted.service(), nowNanos);
 		return usable.stream()
@@ -690,7 +643,8 @@
 	}
 
 	// Returns after what time a caller may retry a request that no endpoint takes now.
-	long retryAfterMs(AdmittedRequest admitted, List<Endpoint> heldBack, Predicate<Endpoint> allowed, long nowNanos) {
+	long retryAfterMs(RequestAdmission.AdmittedRequest admitted, List<Endpoint> heldBack, Predicate<Endpoint> allowed,
+			long nowNanos) {
 		boolean limited = !heldBack.isEmpty()
 				&& heldBack.size() == receivingEndpoints(admitted, allowed, nowNanos).size();
 		return (limited) ? this.endpointLimits.retryAfterMs(heldBack, this.random, nowNanos) : capacityRetryMs();
@@ -711,7 +665,8 @@
 
 	// Logs why no path was found: layers that no usable engine holds, or else a lack of
 	// capacity.
-	void recordMissingPath(String requestId, AdmittedRequest admitted, int heldBackCount, long nowNanos) {
+	void recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
+			long nowNanos) {
 		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
 		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
 		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
@@ -805,7 +760,7 @@
 		return Math.max(route.targetLatencyMs(), DEFAULT_GAP_LIMIT_MS);
 	}
 
-	void onRequestOpened(Exchange exchange, AdmittedRequest admitted) {
+	void onRequestOpened(Exchange exchange, RequestAdmission.AdmittedRequest admitted) {
 		this.openExchanges.add(exchange);
 		this.metrics.increment(EntryMetrics.Count.REQUESTS);
 		// The daemon that passed a request on has counted it for the budget.
@@ -1005,39 +960,4 @@
 
 	}
 
-	/**
-	 * A request that was admitted, with what the configuration says about it.
-	 *
-	 * @param version version of the configuration under which it was admitted
-	 * @param route the route
-	 * @param service name of the service that was chosen for it
-	 * @param engine the service's model engine; empty for plain services
-	 * @param account the client account; empty on keyless routes and if no keys are
-	 * required
-	 * @param priority rank of the request; 0 is the most urgent
-	 */
-	record AdmittedRequest(long version, Route route, String service, Optional<EngineSpec> engine,
-			Optional<ClientAccount> account, int priority) {
-	}
-
-	/**
-	 * Result of admission: either an admitted request or a refusal.
-	 *
-	 * @param admitted the admitted request, {@code null} if refused
-	 * @param refusal the response to the caller, {@code null} if admitted
-	 * @param reason why it was refused, for the log; empty if admitted
-	 */
-	record Admission(AdmittedRequest admitted, DefaultFullHttpResponse refusal, String reason) {
-
-		static Admission admit(AdmittedRequest admitted) {
-			return new Admission(admitted, null, "");
-		}
-
-		static Admission refuse(HttpResponseStatus status, String message, long retryAfterMs) {
-			return new Admission(null, OwnResponses.create(status, message, retryAfterMs),
-					status.code() + " " + message);
-		}
-
-	}
-
 }
