Do not take the failure of some endpoints for the loss of their service

After a few engines had gone dark, most daemons reported the service as lost for 0.25 s. A trial that still waited for a dark engine when its doubt was settled counted for the next doubt, where it alone was enough for a report at its timeout. Besides, three trials decided, chosen from the endpoints that were not avoided, and these may be just the dark ones when most of the others are avoided.

The result of a trial now counts only for its own doubt. If the first three trials have not opened within 60 ms, more than a third of the endpoints are tried (at most 16), and two thirds (at most 32) while answers arrive on existing connections; all of these must fail. Endpoints that are avoided are tried last, but are tried.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -79,6 +79,9 @@
 	/** Endpoints of a service are reached again. */
 	SERVICE_REACHED(8209, Level.INFO),
 
+	/** Several trials to endpoints of a service failed before one of them opened. */
+	SERVICE_DOUBT_CLEARED(8210, Level.INFO),
+
 	/**
 	 * The daemon leaves the rotation, since others serve its callers with less effort.
 	 */
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/ReachMonitor.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -21,6 +22,13 @@
  */
 final class ReachMonitor implements ConnectionObserver {
 
+	/**
+	 * Failed trials of a doubt from which its end is logged if the service is reached.
+	 */
+	private static final int MANY_FAILURES = 3;
+
+	private final EventLoop loop;
+
 	private final ConnectionTrial trial;
 
 	private final EndpointDirectory directory;
@@ -37,6 +45,7 @@
 	private final Set<String> watched = new HashSet<>();
 
 	ReachMonitor(EventLoop loop, EndpointDirectory directory, RandomGenerator random, Listener listener) {
+		this.loop = loop;
 		this.trial = new ConnectionTrial(loop);
 		this.directory = directory;
 		this.random = random;
@@ -114,18 +123,25 @@
 
 	private void startTrials(String service, long nowNanos) {
 		List<String> usable = this.directory.usableEndpoints(service).stream().map(Endpoint::id).toList();
-		List<String> sound = usable.stream().filter((id) -> !this.listener.isAvoided(id, nowNanos)).toList();
-		for (String id : this.reach.takeTrials(service, (sound.isEmpty()) ? usable : sound, nowNanos)) {
+		List<String> started = this.reach.takeTrials(service, usable, (id) -> this.listener.isAvoided(id, nowNanos),
+				nowNanos);
+		for (String id : started) {
 			Optional<Endpoint> endpoint = this.directory.findUsable(id);
 			this.listener.onTrial();
 			this.trial.start(endpoint.get().address(), this::onOpened,
 					(opened) -> onTrialDone(service, id, opened, usable, System.nanoTime()));
 		}
+		if (!started.isEmpty() && !this.reach.isLost(service)) {
+			this.loop.schedule(() -> startTrials(service, System.nanoTime()), EndpointReach.EXTENSION_NANOS,
+					TimeUnit.NANOSECONDS);
+		}
 	}
 
 	private void onTrialDone(String service, String endpointId, boolean opened, List<String> usable, long nowNanos) {
+		boolean reliableBefore = this.reach.isReliable(service);
 		boolean changed = this.reach.onTrialDone(service, endpointId, opened, usable, nowNanos);
 		reportEnded(nowNanos);
+		logClearedDoubt(service, usable.size(), !reliableBefore && !changed);
 		if (!changed) {
 			startTrials(service, nowNanos);
 			return;
@@ -141,6 +157,14 @@
 		}
 	}
 
+	private void logClearedDoubt(String service, int endpointCount, boolean doubted) {
+		int failed = this.reach.failedTrialCount(service);
+		if (doubted && this.reach.isReliable(service) && failed >= MANY_FAILURES) {
+			EntryLog.write(EntryEvent.SERVICE_DOUBT_CLEARED, service, "failed_trials", failed, "endpoints",
+					endpointCount);
+		}
+	}
+
 	// If an endpoint of another service can be reached, those of the lost one have
 	// ended.
 	private void tryOtherService(String lost) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/reach/EndpointReach.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -11,6 +12,11 @@
  */
 public final class EndpointReach {
 
+	/**
+	 * Time after the first trials of a doubt at which further ones may be due, in ns.
+	 */
+	public static final long EXTENSION_NANOS = ServiceReach.EXTENSION_NANOS;
+
 	private final Map<String, ServiceReach> services = new HashMap<>();
 
 	private final RandomGenerator random;
@@ -81,7 +87,20 @@
 	 * @return the identities; each must be followed by a result
 	 */
 	public List<String> takeTrials(String service, List<String> usable, long nowNanos) {
-		return of(service, nowNanos).takeTrials(usable, this.random, nowNanos);
+		return takeTrials(service, usable, (id) -> false, nowNanos);
+	}
+
+	/**
+	 * Returns the endpoints to which trial connections are to be opened now, as far as
+	 * possible such that have not failed lately.
+	 * @param service name of the service
+	 * @param usable identities of its endpoints; may be empty
+	 * @param avoided tells whether an endpoint has failed lately
+	 * @param nowNanos the current steady time in ns
+	 * @return the identities; each must be followed by a result
+	 */
+	public List<String> takeTrials(String service, List<String> usable, Predicate<String> avoided, long nowNanos) {
+		return of(service, nowNanos).takeTrials(usable, avoided, this.random, nowNanos);
 	}
 
 	/**
@@ -100,6 +119,17 @@
 		return isLost(service) != lostBefore;
 	}
 
+	/**
+	 * Returns the number of endpoints of a service that failed a trial during its last
+	 * doubt.
+	 * @param service name of the service
+	 * @return the number
+	 */
+	public int failedTrialCount(String service) {
+		ServiceReach reach = this.services.get(service);
+		return (reach != null) ? reach.failedTrialCount() : 0;
+	}
+
 	/**
 	 * Records that a connection to an endpoint of any service has opened.
 	 * @param openedAtNanos when it opened, in steady ns
