Run independent modules side by side in the tests

Formatter, linter, tests and checks stay the same; the modules of the entry daemon and those of the other programs do not depend on each other.

--- a/run-tests.sh
+++ b/run-tests.sh
@@ -9,7 +9,8 @@
 	apt-get update -qq
 	apt-get install -y -qq spin >/dev/null
 fi
-mvn -B -ntp verify "$@"
+# Modules that do not depend on each other run side by side.
+mvn -B -ntp -T 2 verify "$@"
 spec/check.sh
 if grep -q '^1\.' KNOWN-RED.txt 2>/dev/null; then
 	echo "Known failing tests, which do not affect the result:"
