Choose plain endpoints by shares of the sends of all daemons

Plain endpoints were chosen by this daemon's own open requests. With 78 to 128 daemons each sees almost nothing of the load, and endpoints got up to several times the mean of what their slots serve.

Daemons now tell each other their sends, response times and failures at plain endpoints (extension 4). Each daemon distributes the sum over the endpoints by registered slots and measured speed, with a queue model for the wait, and draws the endpoint of each request by these shares. An endpoint that fails more than 1 in 10 gets trials only; failures give no sample of speed. Registrations are decoded with their slots.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.peer.PeerExchange;
+import org.comfreyslip.entry.peer.PlainLoadsExtension;
 import org.comfreyslip.entry.peer.RegistrationRelay;
 
 /**
@@ -138,6 +139,7 @@
 				this.configurationFeed, this.endpointFeed, this.router.loads(), this.router.slowdowns(),
 				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(), this.router.crashBlame(),
 				this.router);
+		this.peers.addExtension(new PlainLoadsExtension(this.router.plainLoads(), System::nanoTime));
 		this.router.setRelayPeers(() -> this.peers.table().relayPeers(this.clock.nanos()));
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -81,6 +81,11 @@
 
 	/** Several trials to endpoints of a service failed before one of them opened. */
 	SERVICE_DOUBT_CLEARED(8210, Level.INFO),
+	/** A plain endpoint fails so often that it gets no more than a few trials. */
+	ENDPOINT_DISTRUSTED(8220, Level.WARNING),
+
+	/** A plain endpoint that failed often is used as before. */
+	ENDPOINT_TRUSTED(8221, Level.INFO),
 
 	/**
 	 * The daemon leaves the rotation, since others serve its callers with less effort.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -141,7 +141,10 @@
 		RELAYS_TAKEN,
 
 		/** Requests of other daemons that were declined. */
-		RELAYS_DECLINED
+		RELAYS_DECLINED,
+
+		/** Sends that endpoints of plain services failed or refused. */
+		PLAIN_FAILURES
 
 	}
 
@@ -155,7 +158,10 @@
 		REQUEST,
 
 		/** Age of the oldest load of another daemon when a path was chosen. */
-		PEER_LOADS_AGE
+		PEER_LOADS_AGE,
+
+		/** Time from a send to a plain endpoint to its response, without failures. */
+		PLAIN_RESPONSE
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -89,7 +89,8 @@
 	private static boolean equalsExceptHeartbeat(Endpoint left, Endpoint right) {
 		return left.isSameIncarnation(right) && left.service().equals(right.service())
 				&& left.address().equals(right.address()) && left.draining() == right.draining()
-				&& left.layers().equals(right.layers()) && left.accelerator().equals(right.accelerator());
+				&& left.layers().equals(right.layers()) && left.accelerator().equals(right.accelerator())
+				&& left.slots() == right.slots();
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/LeastWaitSelector.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/LeastWaitSelector.java
@@ -5,59 +5,42 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import org.comfreyslip.entry.model.Endpoint;
 
 /**
- * Chooses the endpoint of a plain service (one without model layers) with the least
- * expected wait. The wait is estimated from the requests that this daemon has open at the
- * endpoint, the measured time of a request and the recent failures.
+ * Chooses the endpoint of a plain service (one without model layers) for each send, so
+ * that the sends of all daemons together take the least expected time. It addresses
+ * endpoints of different speeds before many daemons that know each other's loads only
+ * with a delay. A random choice by planned shares keeps daemons with the same old reports
+ * from choosing the same endpoint.
  */
 public final class LeastWaitSelector {
 
-	/** Weight of the newest sample in the moving average of a request's time. */
-	private static final double SAMPLE_WEIGHT = 0.2;
-
-	/** Assumed time of a request before the first sample, in ms. */
-	private static final double INITIAL_TIME_MS = 20;
-
-	/**
-	 * Cost added for an endpoint in another data centre, in ms. It is higher than the
-	 * network delay because traffic between data centres is charged for.
-	 */
-	private static final double REMOTE_COST_MS = 2.5;
-
-	/**
-	 * Weight of the failure rate: at a rate of 1 the cost rises by this many times the
-	 * expected wait.
-	 */
-	private static final double FAILURE_FACTOR = 6;
-
-	/**
-	 * Cost added for an endpoint that is avoided because of a fault, in ms. Such an
-	 * endpoint is chosen only if there is no other.
-	 */
-	private static final double AVOIDED_COST_MS = 1e6;
-
 	private final RandomGenerator random;
 
 	private final EndpointFaults faults;
 
-	private final Map<String, Integer> openRequests = new HashMap<>();
+	private final PlainLoads loads;
 
-	private final Map<String, Double> meanTimeMs = new HashMap<>();
+	private final EndpointSpeeds speeds;
+
+	/** The shares in force by service. */
+	private final Map<String, PlainShares> shares = new HashMap<>();
 
 	/**
 	 * Creates a selector.
 	 * @param faults the faults of the endpoints
-	 * @param random source of the tie-breaker, so that daemons do not all choose the same
-	 * endpoint
+	 * @param loads the requests of all daemons at the endpoints
+	 * @param random source of random numbers, which must differ between daemons
 	 */
-	public LeastWaitSelector(EndpointFaults faults, RandomGenerator random) {
+	public LeastWaitSelector(EndpointFaults faults, PlainLoads loads, RandomGenerator random) {
 		this.faults = faults;
+		this.loads = loads;
 		this.random = random;
+		this.speeds = new EndpointSpeeds(loads);
 	}
 
 	/**
@@ -70,51 +53,92 @@
 	 */
 	public Optional<Endpoint> choose(List<Endpoint> candidates, Collection<String> triedIds, String dataCentre,
 			long nowNanos) {
-		Set<String> excluded = Set.copyOf(triedIds);
-		Endpoint best = null;
-		double bestCost = Double.MAX_VALUE;
-		for (Endpoint endpoint : candidates) {
-			double cost = cost(endpoint, dataCentre, nowNanos);
-			if (!excluded.contains(endpoint.id()) && cost < bestCost) {
-				best = endpoint;
-				bestCost = cost;
-			}
+		if (candidates.isEmpty()) {
+			return Optional.empty();
 		}
-		return Optional.ofNullable(best);
+		String service = candidates.get(0).service();
+		PlainShares plan = this.shares.get(service);
+		if (plan == null || !plan.isCurrent(candidates, nowNanos)) {
+			plan = PlainShares.plan(candidates, dataCentre, this.speeds, this.faults, nowNanos);
+			this.shares.put(service, plan);
+		}
+		double[] weights = new double[candidates.size()];
+		double sum = weigh(plan, candidates, triedIds, false, weights, nowNanos);
+		if (sum <= 0) {
+			// All others are avoided because of faults.
+			sum = weigh(plan, candidates, triedIds, true, weights, nowNanos);
+		}
+		if (sum <= 0) {
+			return Optional.empty();
+		}
+		return Optional.of(candidates.get(draw(weights, sum)));
 	}
 
-	private double cost(Endpoint endpoint, String dataCentre, long nowNanos) {
-		double time = this.meanTimeMs.getOrDefault(endpoint.id(), INITIAL_TIME_MS);
-		double cost = time * (1 + this.openRequests.getOrDefault(endpoint.id(), 0))
-				* (1 + FAILURE_FACTOR * this.faults.failureRate(endpoint.id()));
-		if (!endpoint.dataCentre().equals(dataCentre)) {
-			cost += REMOTE_COST_MS;
+	private double weigh(PlainShares plan, List<Endpoint> candidates, Collection<String> triedIds, boolean avoided,
+			double[] weights, long nowNanos) {
+		double sum = 0;
+		for (int index = 0; index < weights.length; index++) {
+			String id = candidates.get(index).id();
+			boolean usable = !triedIds.contains(id) && (avoided || !this.faults.isAvoided(id, nowNanos));
+			weights[index] = (usable) ? plan.share(index) : 0;
+			sum += weights[index];
 		}
-		if (this.faults.isAvoided(endpoint.id(), nowNanos)) {
-			cost += AVOIDED_COST_MS;
+		return sum;
+	}
+
+	private int draw(double[] weights, double sum) {
+		double point = this.random.nextDouble() * sum;
+		int last = 0;
+		for (int index = 0; index < weights.length; index++) {
+			if (weights[index] > 0) {
+				last = index;
+				point -= weights[index];
+				if (point < 0) {
+					return index;
+				}
+			}
 		}
-		return cost + this.random.nextDouble();
+		return last;
 	}
 
 	/**
 	 * Records that a request was sent to an endpoint.
 	 * @param id identity of the endpoint
+	 * @param nowNanos the current time in ns
 	 */
-	public void recordDispatch(String id) {
-		this.openRequests.merge(id, 1, Integer::sum);
+	public void recordDispatch(String id, long nowNanos) {
+		this.loads.recordDispatch(id, nowNanos);
 	}
 
 	/**
 	 * Records that a request to an endpoint ended.
 	 * @param id identity of the endpoint
+	 * @param sentAtNanos when it was sent, in ns
 	 * @param durationMs time from the dispatch to the response, in ms; negative if there
-	 * was no response
+	 * was no response, or one that reports a failure
+	 * @param nowNanos the current time in ns
 	 */
-	public void recordCompletion(String id, double durationMs) {
-		this.openRequests.computeIfPresent(id, (key, count) -> (count > 1) ? count - 1 : null);
-		if (durationMs >= 0) {
-			this.meanTimeMs.merge(id, durationMs, (old, fresh) -> old + SAMPLE_WEIGHT * (fresh - old));
-		}
+	public void recordCompletion(String id, long sentAtNanos, double durationMs, long nowNanos) {
+		this.loads.recordEnd(id, sentAtNanos, durationMs, nowNanos);
+	}
+
+	/**
+	 * Records that an endpoint failed or refused a request.
+	 * @param id identity of the endpoint
+	 * @param nowNanos the current time in ns
+	 */
+	public void recordFailure(String id, long nowNanos) {
+		this.loads.recordFailure(id, nowNanos);
+	}
+
+	/**
+	 * Forgets plans of services without endpoints, and the speeds of endpoints that have
+	 * left. Called periodically.
+	 * @param nowNanos the current time in ns
+	 */
+	public void removeExpired(long nowNanos) {
+		this.shares.values().removeIf((plan) -> plan.ageNanos(nowNanos) > TimeUnit.MINUTES.toNanos(1));
+		this.speeds.removeExpired(nowNanos);
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -372,7 +372,7 @@
 			this.router.monitorPath(this.path, now);
 		}
 		else {
-			this.router.plainSelector().recordDispatch(target.id());
+			this.router.plainSelector().recordDispatch(target.id(), now);
 		}
 		this.sentTo.add(target.id());
 		this.router.onSend(target);
@@ -445,7 +445,7 @@
 			this.router.loads().release(this.path, this.reservedTokens);
 		}
 		else {
-			this.router.plainSelector().recordCompletion(this.endpoint.id(), tookMs);
+			this.router.onPlainEnd(this.endpoint, this.sentAtNanos, tookMs);
 		}
 		this.endpoint = null;
 		this.peer = null;
@@ -632,10 +632,15 @@
 		if (!failed && this.path == null) {
 			recordProven(now);
 		}
-		this.router.faults().recordResponse(this.endpoint.id(), failed, now);
+		if (failed) {
+			this.router.onEndpointFailed(this.endpoint, now);
+		}
+		else {
+			this.router.faults().recordResponse(this.endpoint.id(), false, now);
+		}
 		if (failed && this.admitted.route().mayRunAgain() && !this.streamStarted && recordRunAndTakeRetry()) {
 			this.mayHaveRun = true;
-			resend(now, (now - this.sentAtNanos) / 1e6, "status " + status);
+			resend("status " + status);
 			return;
 		}
 		if (this.streamStarted) {
@@ -650,7 +655,7 @@
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.responseHead.status(),
 				this.responseBody, relayedHeaders(), EmptyHttpHeaders.INSTANCE);
 		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		endSend((now - this.sentAtNanos) / 1e6);
+		endSend((response.status().code() < 500) ? (now - this.sentAtNanos) / 1e6 : -1);
 		finish(outcome, "status " + response.status().code());
 		this.caller.sendResponse(response);
 	}
@@ -708,16 +713,16 @@
 	}
 
 	// Ends the current send, excludes its endpoint and dispatches the request again.
-	private void resend(long now, double tookMs, String reason) {
+	private void resend(String reason) {
 		this.excludedEndpoints.add(this.endpoint.id());
-		dispatchAgain(tookMs, reason);
+		dispatchAgain(reason);
 	}
 
 	// Ends the current send and dispatches the request again, to any endpoint that is not
 	// excluded.
-	private void dispatchAgain(double tookMs, String reason) {
+	private void dispatchAgain(String reason) {
 		this.router.recordMove(id(), this.endpoint.id(), reason);
-		endSend(tookMs);
+		endSend(-1);
 		dispatch();
 	}
 
@@ -737,7 +742,7 @@
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
-				resend(now, -1, "no connection");
+				resend("no connection");
 				return;
 			}
 			endSend(-1);
@@ -745,7 +750,7 @@
 			return;
 		}
 		if (cause.isCausedByTarget()) {
-			this.router.faults().recordResponse(endpointId, true, now);
+			this.router.onEndpointFailed(this.endpoint, now);
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			this.excludedEndpoints.add(endpointId);
 		}
@@ -764,7 +769,7 @@
 			}
 		}
 		if (this.admitted.route().mayRunAgain() && recordRunAndTakeRetry()) {
-			dispatchAgain(-1, cause.name());
+			dispatchAgain(cause.name());
 			return;
 		}
 		endSend(-1);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -28,6 +28,7 @@
 import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.fleet.FaultKind;
 import org.comfreyslip.entry.fleet.LeastWaitSelector;
+import org.comfreyslip.entry.fleet.PlainLoads;
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
@@ -161,6 +162,8 @@
 
 	private final EndpointMonitor monitor;
 
+	private final PlainLoads plainLoads;
+
 	private final LeastWaitSelector plainSelector;
 
 	private final RetryBudget retryBudget;
@@ -224,7 +227,8 @@
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
-		this.plainSelector = new LeastWaitSelector(this.faults, random);
+		this.plainLoads = new PlainLoads(System.nanoTime());
+		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -279,6 +283,14 @@
 		return this.loads;
 	}
 
+	/**
+	 * Returns the requests at the endpoints of plain services.
+	 * @return the loads, which requests update
+	 */
+	public PlainLoads plainLoads() {
+		return this.plainLoads;
+	}
+
 	/**
 	 * Returns the slowdown factors of engines.
 	 * @return the slowdown factors, which probes update
@@ -807,6 +819,24 @@
 		return refusalMs;
 	}
 
+	// Records the end of a send to a plain endpoint; the time is negative if there was no
+	// response, or one that reports a failure.
+	void onPlainEnd(Endpoint endpoint, long sentAtNanos, double tookMs) {
+		this.plainSelector.recordCompletion(endpoint.id(), sentAtNanos, tookMs, System.nanoTime());
+		if (tookMs >= 0) {
+			this.metrics.record(EntryMetrics.Time.PLAIN_RESPONSE, Math.round(tookMs));
+		}
+	}
+
+	// Records that an endpoint failed a request.
+	void onEndpointFailed(Endpoint endpoint, long nowNanos) {
+		this.faults.recordResponse(endpoint.id(), true, nowNanos);
+		if (endpoint.layers().isEmpty()) {
+			this.plainSelector.recordFailure(endpoint.id(), nowNanos);
+			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
+		}
+	}
+
 	void recordMove(String requestId, String endpoint, String reason) {
 		this.metrics.increment(EntryMetrics.Count.MOVED);
 		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
@@ -819,6 +849,10 @@
 		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, faulty.id(), "asked", target.id(), "status", status);
 		this.metrics.increment(EntryMetrics.Count.ENDPOINTS_BLAMED);
 		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
+		if (faulty.layers().isEmpty()) {
+			this.plainSelector.recordFailure(faulty.id(), nowNanos);
+			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
+		}
 		return !faulty.id().equals(target.id());
 	}
 
@@ -922,6 +956,7 @@
 			caller.checkTimeouts(nowNanos);
 		}
 		this.pool.closeExpired(nowNanos);
+		this.plainSelector.removeExpired(nowNanos);
 		this.relays.update(nowNanos);
 		this.monitor.updateConnections(nowNanos);
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointChoiceTests.java
@@ -18,7 +18,8 @@
 
 	private final EndpointFaults faults = new EndpointFaults();
 
-	private final LeastWaitSelector selector = new LeastWaitSelector(this.faults, new SplittableRandom(7));
+	private final LeastWaitSelector selector = new LeastWaitSelector(this.faults, new PlainLoads(0),
+			new SplittableRandom(7));
 
 	private final List<Endpoint> endpoints = List.of(Samples.plain("a", 1, false), Samples.plain("b", 1, false),
 			Samples.plain("c", 1, false));
@@ -30,11 +31,11 @@
 	@Test
 	void openRequestsAreSpreadOverTheEndpoints() {
 		for (int sent = 0; sent < 9; sent++) {
-			this.selector.recordDispatch(choose(0));
+			this.selector.recordDispatch(choose(0), 0);
 		}
 		for (String id : List.of("a", "b", "c")) {
 			for (int ended = 0; ended < 3; ended++) {
-				this.selector.recordCompletion(id, 20);
+				this.selector.recordCompletion(id, 0, 20, 0);
 			}
 		}
 		assertThat(choose(0)).isIn("a", "b", "c");
@@ -43,8 +44,8 @@
 	@Test
 	void aSlowEndpointIsNotChosenWhileOthersAreFaster() {
 		for (int sample = 0; sample < 20; sample++) {
-			this.selector.recordDispatch("a");
-			this.selector.recordCompletion("a", 200);
+			this.selector.recordDispatch("a", 0);
+			this.selector.recordCompletion("a", 0, 200, 0);
 		}
 		for (int choice = 0; choice < 20; choice++) {
 			assertThat(choose(0)).isNotEqualTo("a");
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/SharedEndpointLimitTests.java
@@ -281,7 +281,7 @@
 
 		private final EndpointLimits limits;
 
-		private final LeastWaitSelector selector = new LeastWaitSelector(new EndpointFaults(),
+		private final LeastWaitSelector selector = new LeastWaitSelector(new EndpointFaults(), new PlainLoads(0),
 				SharedEndpointLimitTests.this.random.split());
 
 		private long nextRemoteRoundMs;
