Choose the first plan by the streams that it has room for

The first plan put all further replicas on the first layers, whatever room the others had. It now compares three ways to place them by the KV cache that runs of layers can use (PlanCapacity), each data centre by itself, since paths stay in one where they can. A gap that cannot be closed costs one search in each round instead of one for each bound on the layers to load.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -144,7 +144,10 @@
 	LAYERS_MISSING(8404, Level.WARNING),
 
 	/** The engines whose layers do not count since they do not respond have changed. */
-	ENGINES_SUSPECTED(8410, Level.WARNING);
+	ENGINES_SUSPECTED(8410, Level.WARNING),
+
+	/** The set of layers that no usable engine of any data centre holds has changed. */
+	LAYERS_WITHOUT_REPLICA(8411, Level.WARNING);
 
 	private final int number;
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/GapRepair.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/GapRepair.java
@@ -101,8 +101,13 @@
 	// broken off and continue on slower engines.
 	private Optional<Repair> find(LayerRange gap, boolean stopsStreams, boolean keepFastest) {
 		int targetLayers = (int) (TARGET_LOAD_SECONDS * this.engine.layers() / this.engine.loadSeconds());
+		int largestLimit = gap.size() + this.engine.layers();
+		// A gap that cannot be closed is tried again in each round.
+		if (cover(gap, largestLimit, keepFastest).isEmpty()) {
+			return Optional.empty();
+		}
 		Repair best = null;
-		for (int limit = 1; limit <= gap.size() + this.engine.layers(); limit++) {
+		for (int limit = 1; limit <= largestLimit; limit++) {
 			boolean inTime = stopsStreams && limit <= targetLayers;
 			if (best != null && !inTime && (best.inTime() || limit >= best.cost())) {
 				break;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerCoverage.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerCoverage.java
@@ -38,6 +38,14 @@
 			.collect(Collectors.joining(","));
 	}
 
+	/**
+	 * Returns how many layers are not held.
+	 * @return the number of layers
+	 */
+	int missingCount() {
+		return (int) IntStream.range(0, this.held.length).filter((layer) -> !this.held[layer]).count();
+	}
+
 	private int endOfGap(int from) {
 		int to = from;
 		while (to < this.held.length && !this.held[to]) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -66,8 +66,14 @@
 	/** The ranges to order, by identity of the endpoint. */
 	private final Map<String, LayerRange> orders = new HashMap<>();
 
-	private LayerPlanner(EngineSpec engine, List<EnginePlacement> placements) {
+	/** Why they are ordered, by identity of the endpoint. */
+	private final Map<String, OrderCause> causes = new HashMap<>();
+
+	private final Spread spread;
+
+	private LayerPlanner(EngineSpec engine, List<EnginePlacement> placements, Spread spread) {
 		this.engine = engine;
+		this.spread = spread;
 		for (List<EnginePlacement> group : groupByDataCentre(engine, placements)) {
 			this.groups.add(new PlacementGroup(engine, group, computeWeightShare(engine, group)));
 		}
@@ -81,13 +87,37 @@
 	 * @return the ranges to order, by identity of the endpoint; empty if nothing changes
 	 */
 	public static Map<String, LayerRange> plan(EngineSpec engine, List<EnginePlacement> placements) {
-		LayerPlanner planner = new LayerPlanner(engine, placements);
-		planner.planAll();
-		return planner.orders;
+		return planWithCauses(engine, placements).ranges();
 	}
 
-	private void planAll() {
-		placeFirst();
+	/**
+	 * Plans as {@link #plan} does, and tells why.
+	 * @param engine the model engine: its layers, their size and the accelerator kinds
+	 * @param placements the current placements on hosts that are alive and not leaving
+	 * @return the ranges to order and their causes; empty if nothing changes
+	 */
+	static PlannedOrders planWithCauses(EngineSpec engine, List<EnginePlacement> placements) {
+		LayerPlanner planner = new LayerPlanner(engine, placements, Spread.FIRST_LAYERS);
+		planner.placeFirst();
+		if (!planner.orders.isEmpty()) {
+			for (Spread spread : List.of(Spread.FEWEST_REPLICAS, Spread.LEAST_CACHE)) {
+				LayerPlanner other = new LayerPlanner(engine, placements, spread);
+				other.placeFirst();
+				planner = (other.usableCacheMb() > planner.usableCacheMb()) ? other : planner;
+			}
+		}
+		planner.completePlan();
+		return new PlannedOrders(planner.orders, planner.causes);
+	}
+
+	// Paths stay in one data centre where they can, so that each group counts by itself.
+	private double usableCacheMb() {
+		return this.groups.stream()
+			.mapToDouble((group) -> PlanCapacity.cacheForEachLayerMb(this.engine, group.placements(), this.orders))
+			.sum();
+	}
+
+	private void completePlan() {
 		closeGapsOfAllGroups();
 		this.groups.forEach(this::placeEmptyEngines);
 		this.groups.forEach(this::closeGaps);
@@ -96,25 +126,64 @@
 		}
 	}
 
-	// The largest engines of all groups get different layers where possible: they carry
-	// most streams and may fail together.
+	// First all groups get one replica of each layer; then the other engines follow. The
+	// largest engines of all groups get different layers where possible: they carry most
+	// streams and may fail together.
 	private void placeFirst() {
+		List<PlacementGroup> unplaced = this.groups.stream().filter(PlacementGroup::isUnplaced).toList();
+		if (unplaced.isEmpty()) {
+			return;
+		}
 		int[] sizes = this.groups.stream()
 			.flatMapToInt((group) -> group.placements().stream().mapToInt(group::plannedSize))
 			.sorted()
 			.toArray();
-		int[] largeReplicas = new int[this.engine.layers()];
-		for (PlacementGroup group : this.groups) {
-			if (group.isUnplaced()) {
-				for (EnginePlacement placement : largestFirst(group)) {
-					int size = group.plannedSize(placement);
-					boolean large = size > LARGE_ENGINE_FACTOR * sizes[sizes.length / 2];
-					LayerRange range = leastCovered(group.replicas(), size,
-							(large) ? largeReplicas : new int[this.engine.layers()]);
-					order(group, placement, range);
-					PlacementGroup.add(largeReplicas, range, (large) ? 1 : 0);
+		double[] largeReplicas = new double[this.engine.layers()];
+		for (PlacementGroup group : unplaced) {
+			for (EnginePlacement placement : largestFirst(group)) {
+				if (IntStream.of(group.replicas()).min().orElse(0) > 0) {
+					break;
 				}
-				smooth(group);
+				int size = group.plannedSize(placement);
+				boolean large = size > LARGE_ENGINE_FACTOR * sizes[sizes.length / 2];
+				LayerRange range = leastCovered(group.replicas(), size,
+						(large) ? largeReplicas : new double[this.engine.layers()]);
+				order(group, placement, range, OrderCause.EMPTY);
+				for (int layer = range.from(); layer < range.to(); layer++) {
+					largeReplicas[layer] += (large) ? 1 : 0;
+				}
+			}
+		}
+		placeFurtherReplicas(unplaced);
+		unplaced.forEach(this::smooth);
+	}
+
+	// Engines beyond the first replica of each layer in a group go where all groups have
+	// least, so that no layer depends on few engines or has room for fewer streams.
+	private void placeFurtherReplicas(List<PlacementGroup> unplaced) {
+		double[] weights = new double[this.engine.layers()];
+		for (PlacementGroup group : unplaced) {
+			for (EnginePlacement placement : group.placements()) {
+				addWeight(weights, placement);
+			}
+		}
+		for (PlacementGroup group : unplaced) {
+			for (EnginePlacement placement : largestFirst(group)) {
+				order(group, placement, leastCovered(group.replicas(), group.plannedSize(placement), weights),
+						OrderCause.EMPTY);
+				addWeight(weights, placement);
+			}
+		}
+	}
+
+	// Adds a replica, weighted by the KV cache that its engine has for the layer in units
+	// of a layer's weights.
+	private void addWeight(double[] weights, EnginePlacement placement) {
+		LayerRange range = this.orders.get(placement.id());
+		if (range != null) {
+			double cacheMb = placement.kind().memoryMb() / range.size() - this.engine.layerMb();
+			for (int layer = range.from(); layer < range.to(); layer++) {
+				weights[layer] += this.spread.weight(cacheMb / this.engine.layerMb());
 			}
 		}
 	}
@@ -232,25 +301,31 @@
 	private void placeEmptyEngines(PlacementGroup group) {
 		for (EnginePlacement placement : largestFirst(group)) {
 			order(group, placement,
-					leastCovered(group.replicas(), group.plannedSize(placement), new int[this.engine.layers()]));
+					leastCovered(group.replicas(), group.plannedSize(placement), new double[this.engine.layers()]),
+					OrderCause.EMPTY);
 		}
 	}
 
-	private void order(PlacementGroup group, EnginePlacement placement, LayerRange range) {
+	private void order(PlacementGroup group, EnginePlacement placement, LayerRange range, OrderCause cause) {
 		group.recordOrder(placement, range);
 		this.orders.put(placement.id(), range);
+		this.causes.put(placement.id(), cause);
 	}
 
-	// Layers that no engine of any group holds stop all streams. Engines of other groups
-	// help where a group cannot close the gap, or only much later.
-	private void closeGapsOfAllGroups() {
+	private int[] replicasOfAllGroups() {
 		int[] replicas = new int[this.engine.layers()];
 		for (PlacementGroup group : this.groups) {
 			for (int layer = 0; layer < replicas.length; layer++) {
 				replicas[layer] += group.replicas()[layer];
 			}
 		}
-		for (LayerRange gap : PlacementGroup.runsUpTo(replicas, 0)) {
+		return replicas;
+	}
+
+	// Layers that no engine of any group holds stop all streams. Engines of other groups
+	// help where a group cannot close the gap, or only much later.
+	private void closeGapsOfAllGroups() {
+		for (LayerRange gap : PlacementGroup.runsUpTo(replicasOfAllGroups(), 0)) {
 			GapRepair.Repair best = null;
 			List<PlacementGroup> bestGroups = List.of();
 			for (PlacementGroup group : this.groups) {
@@ -268,7 +343,7 @@
 				}
 			}
 			if (best != null) {
-				apply(best, bestGroups);
+				apply(best, bestGroups, OrderCause.GAP_EVERYWHERE);
 			}
 		}
 	}
@@ -278,7 +353,8 @@
 			return;
 		}
 		for (LayerRange gap : PlacementGroup.runsUpTo(group.replicas(), 0)) {
-			findRepair(gap, List.of(group), false).ifPresent((repair) -> apply(repair, List.of(group)));
+			findRepair(gap, List.of(group), false)
+				.ifPresent((repair) -> apply(repair, List.of(group), OrderCause.GAP_IN_GROUP));
 		}
 	}
 
@@ -286,9 +362,9 @@
 		return new GapRepair(this.engine, among, this.orders.keySet()).find(gap, stopsStreams);
 	}
 
-	private void apply(GapRepair.Repair repair, List<PlacementGroup> among) {
+	private void apply(GapRepair.Repair repair, List<PlacementGroup> among, OrderCause cause) {
 		for (GapRepair.Step step : repair.steps()) {
-			order(among.get(step.candidate().group()), step.candidate().placement(), step.range());
+			order(among.get(step.candidate().group()), step.candidate().placement(), step.range(), cause);
 		}
 	}
 
@@ -302,7 +378,8 @@
 			int held = placement.layers().map(LayerRange::size).orElse(0);
 			int size = Math.min(group.plannedSize(placement), GapRepair.maxLayers(this.engine, placement));
 			if (held > 0 && held <= SMALL_RANGE_SHARE * size && !placement.suspected()) {
-				order(group, placement, leastCoveredAround(group.replicas(), placement.layers().get(), size));
+				order(group, placement, leastCoveredAround(group.replicas(), placement.layers().get(), size),
+						OrderCause.SMALL_RANGE);
 				return;
 			}
 		}
@@ -338,12 +415,12 @@
 	// Returns the range of the given size that covers most layers with the fewest
 	// replicas and, among equals, has the fewest replicas, then the fewest others to be
 	// avoided.
-	private static LayerRange leastCovered(int[] replicas, int size, int[] avoided) {
+	private static LayerRange leastCovered(int[] replicas, int size, double[] avoided) {
 		int least = IntStream.of(replicas).min().orElse(0);
 		LayerRange best = new LayerRange(0, size);
 		int bestLeast = -1;
 		int bestReplicas = Integer.MAX_VALUE;
-		int bestAvoided = Integer.MAX_VALUE;
+		double bestAvoided = Double.MAX_VALUE;
 		for (int from = 0; from + size <= replicas.length; from++) {
 			LayerRange range = new LayerRange(from, from + size);
 			int leastCount = 0;
@@ -351,8 +428,10 @@
 				leastCount += (replicas[layer] == least) ? 1 : 0;
 			}
 			int replicaSum = sum(replicas, range);
-			int avoidedSum = sum(avoided, range)
-					+ ((leavesShortRun(replicas, range, least)) ? SHORT_RUN_COST * size : 0);
+			double avoidedSum = (leavesShortRun(replicas, range, least)) ? SHORT_RUN_COST * size : 0;
+			for (int layer = range.from(); layer < range.to(); layer++) {
+				avoidedSum += avoided[layer];
+			}
 			boolean better = (leastCount != bestLeast) ? leastCount > bestLeast
 					: (replicaSum != bestReplicas) ? replicaSum < bestReplicas : avoidedSum < bestAvoided;
 			if (better) {
@@ -421,6 +500,54 @@
 		return layers >= engine.layers();
 	}
 
+	/** Where replicas beyond the first of each layer go in the first plan. */
+	private enum Spread {
+
+		/** To the first layers. */
+		FIRST_LAYERS,
+
+		/** To the layers of which all groups have the fewest replicas. */
+		FEWEST_REPLICAS,
+
+		/** To the layers for which all groups have the least KV cache. */
+		LEAST_CACHE;
+
+		double weight(double cache) {
+			return switch (this) {
+				case FIRST_LAYERS -> 0;
+				case FEWEST_REPLICAS -> 1;
+				case LEAST_CACHE -> cache;
+			};
+		}
+
+	}
+
+	/**
+	 * The outcome of a planning round.
+	 *
+	 * @param ranges the ranges to order, by identity of the endpoint
+	 * @param causes why they are ordered, by identity of the endpoint
+	 */
+	record PlannedOrders(Map<String, LayerRange> ranges, Map<String, OrderCause> causes) {
+	}
+
+	/** Why an engine is ordered to hold other layers. */
+	enum OrderCause {
+
+		/** It held none. */
+		EMPTY,
+
+		/** No engine of any data centre held some layers. */
+		GAP_EVERYWHERE,
+
+		/** No engine of its group held some layers. */
+		GAP_IN_GROUP,
+
+		/** It held far fewer layers than its memory is planned for. */
+		SMALL_RANGE
+
+	}
+
 	/**
 	 * The layers that one host holds now, and what the planner needs to know of the host.
 	 *
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -76,12 +76,14 @@
 	/** Orders in progress by identity of the endpoint. */
 	private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
 
-	/** Layers that were missing in the last round, by service and data centre. */
+	/** Layers that were missing in the last round, by service, or with data centre. */
 	private final Map<String, String> missingLayers = new HashMap<>();
 
 	/** Engines that were suspected in the last round, by service. */
 	private final Map<String, Set<String>> suspectedEngines = new HashMap<>();
 
+	private final PlacementMetrics metrics = new PlacementMetrics();
+
 	/** Elapsed time in ns at which the leadership began; -1 without leadership. */
 	private long leaderSinceNanos = -1;
 
@@ -171,9 +173,40 @@
 		if (isStillGrowing(placements, nowNanos)) {
 			return;
 		}
-		Map<String, LayerRange> orders = LayerPlanner.plan(engine, placements);
-		logMissingLayers(service, engine, placements, orders.size());
-		orders.forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
+		LayerPlanner.PlannedOrders orders = LayerPlanner.planWithCauses(engine, placements);
+		logMissingLayers(service, engine, placements, orders.ranges().size());
+		logLayersWithoutReplica(service, engine, placements, suspected.size(), orders);
+		orders.causes().values().forEach(this.metrics::countOrder);
+		orders.ranges().forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
+	}
+
+	// Logs the layers that no usable engine of any data centre holds or loads, which stop
+	// all streams, if they have changed.
+	private void logLayersWithoutReplica(String service, EngineSpec engine,
+			List<LayerPlanner.EnginePlacement> placements, int suspectedCount, LayerPlanner.PlannedOrders orders) {
+		List<LayerRange> ranges = placements.stream()
+			.filter((placement) -> !placement.suspected())
+			.flatMap((placement) -> placement.layers().stream())
+			.toList();
+		LayerCoverage coverage = new LayerCoverage(engine.layers(), ranges);
+		this.metrics.recordRound(coverage.missingCount(), suspectedCount);
+		String before = this.missingLayers.put(service, coverage.missing());
+		if (before != null && !before.equals(coverage.missing())) {
+			long repairs = orders.causes()
+				.values()
+				.stream()
+				.filter((cause) -> cause == LayerPlanner.OrderCause.GAP_EVERYWHERE)
+				.count();
+			EntryLog.write(EntryEvent.LAYERS_WITHOUT_REPLICA, service, "layers", coverage.missing(), "orders", repairs);
+		}
+	}
+
+	/**
+	 * Returns the metrics of the placement.
+	 * @return text in the Prometheus format
+	 */
+	public String metricsText() {
+		return this.metrics.text();
 	}
 
 	// The registration of an engine whose process has ended remains until it expires.
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementLossTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementLossTests.java
@@ -187,6 +187,10 @@
 			this.counts = counts;
 		}
 
+		EngineSpec engine() {
+			return this.engine;
+		}
+
 		List<EnginePlacement> empty() {
 			List<AcceleratorKind> kinds = List.of(Samples.FAST, Samples.MIDDLE, Samples.SLOW, Samples.SMALL);
 			List<EnginePlacement> engines = new ArrayList<>();
