--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/PlacementDutyTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/PlacementDutyTests.java
@@ -113,6 +113,68 @@
 		assertThat(simulation.recordCount()).isEqualTo(records);
 	}
 
+	private static PlacementDuty holder(long waitMs) {
+		PlacementDuty duty = new PlacementDuty("b", 0);
+		duty.onNotice(new DutyNotice("a", 1, 7, waitMs, true, 0, 0), ms(1));
+		duty.takeCall(true, true, 0, 0, ms(10));
+		duty.onAppended(1, 8, ms(12));
+		return duty;
+	}
+
+	@Test
+	void aClaimStatesTheWaitOfTheRecordBeforeIfThatIsLonger() {
+		PlacementDuty standby = new PlacementDuty("b", 0);
+		standby.onNotice(new DutyNotice("a", 1, 7, 1_000, true, 0, 0), ms(10));
+		assertThat(standby.takeCall(true, true, 0, 0, ms(20)))
+			.contains(new DutyCall.Append(8, new DutyRecord("b", 1, 1, 1_000, false)));
+	}
+
+	@Test
+	void anAppendInANewEraLeadsToTheLongestWait() {
+		PlacementDuty duty = holder(0);
+		assertThat(duty.mayOrder(ms(20))).isTrue();
+		duty.takeCall(true, true, 0, 0, ms(200));
+		duty.onAppended(2, 9, ms(210));
+		assertThat(duty.mayOrder(ms(211))).isFalse();
+		assertThat(duty.noticeTo(0)).map(DutyNotice::waitMs).contains(PlacementDuty.MAX_WINDOW_MS);
+		assertThat(duty.takeCall(true, true, 0, 0, ms(2_209))).isEmpty();
+		assertThat(duty.takeCall(true, true, 0, 0, ms(2_210))).isPresent();
+	}
+
+	@Test
+	void aRecordOfAnEarlierEraHasTheLongestWait() {
+		PlacementDuty duty = new PlacementDuty("b", 0);
+		duty.takeCall(true, true, 0, 0, ms(1));
+		duty.onLastRecord(2, 5, Optional.of(new DutyRecord("a", 1, 1, 0, true)), ms(10));
+		duty.takeCall(true, true, 0, 0, ms(11));
+		duty.onAppended(2, 6, ms(12));
+		assertThat(duty.mayOrder(ms(13))).isFalse();
+		assertThat(duty.noticeTo(0)).map(DutyNotice::waitMs).contains(PlacementDuty.MAX_WINDOW_MS);
+	}
+
+	@Test
+	void aHolderWhoseReleaseHasNoAnswerGivesNoOrders() {
+		PlacementDuty duty = holder(0);
+		assertThat(duty.takeCall(false, true, 0, 0, ms(20))).isPresent();
+		duty.onNoAnswer();
+		duty.takeCall(true, true, 0, 0, ms(30));
+		assertThat(duty.mayOrder(ms(30))).isFalse();
+	}
+
+	@Test
+	void theWindowOfARecordThatIsReadBackCountsFromItsFirstSending() {
+		PlacementDuty duty = new PlacementDuty("b", 0);
+		duty.onNotice(new DutyNotice("a", 1, 7, 0, true, 0, 0), ms(1));
+		DutyRecord claim = ((DutyCall.Append) duty.takeCall(true, true, 0, 0, ms(10)).get()).content();
+		duty.onNoAnswer();
+		duty.takeCall(true, true, 0, 0, ms(90));
+		duty.onConflict();
+		duty.takeCall(true, true, 0, 0, ms(95));
+		duty.onLastRecord(1, 8, Optional.of(claim), ms(100));
+		assertThat(duty.mayOrder(ms(259))).isTrue();
+		assertThat(duty.mayOrder(ms(260))).isFalse();
+	}
+
 	@Test
 	void theFirstStandbyClaimsAtOnceWhenTheHolderGivesTheDutyUp() {
 		PlacementDuty standby = new PlacementDuty("b", 0);
