Hold back requests by urgency and by account while engines are short of capacity

Cause: no decision took the priority or the account of a request into account, so that all kinds were served alike while demand exceeded the capacity, and an account with much demand took the capacity of the others.

AdmissionControl decides once for each request for a model engine, before its first send, from the demand, the admitted work and the refusals for lack of capacity of all daemons (extension 2 of the messages between daemons, only while capacity is short). The most urgent priority goes first, each other one keeps a floor, and accounts get max-min fair shares within a priority. Requests that are held back are refused with 503 and Retry-After. A request that may have run, or whose stream has started, is never held back. CapacityGate counts and logs it.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryEvent.java
@@ -147,7 +147,18 @@
 	ENGINES_SUSPECTED(8410, Level.WARNING),
 
 	/** The set of layers that no usable engine of any data centre holds has changed. */
-	LAYERS_WITHOUT_REPLICA(8411, Level.WARNING);
+	LAYERS_WITHOUT_REPLICA(8411, Level.WARNING),
+
+	/** Requests of a service are held back from now on, because capacity is short. */
+	ADMISSION_SHORT(8601, Level.WARNING),
+
+	/**
+	 * The share of a service's requests that is let through, while some are held back.
+	 */
+	ADMISSION_SHARE(8602, Level.INFO),
+
+	/** No requests of a service are held back any more. */
+	ADMISSION_ENDED(8603, Level.INFO);
 
 	private final int number;
 
