--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementLossTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementLossTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 
 import org.comfreyslip.entry.Samples;
 import org.comfreyslip.entry.layers.LayerPlanner.EnginePlacement;
@@ -63,36 +64,22 @@
 		}
 	}
 
+	// The plan's layers divided evenly are what memory allows for all.
 	@ParameterizedTest
 	@EnumSource
-	void planLeavesNoSingleLayerWithFewerReplicasThanItsNeighbours(Fleet fleet) {
+	void planLeavesNoSingleLayerRemainderAndNoLayerWithFewerReplicasThanMemoryAllowsForAll(Fleet fleet) {
 		List<EnginePlacement> placed = place(fleet.engine, fleet.empty());
 		for (String dataCentre : List.of("a", "b", "c")) {
 			int[] replicas = replicas(placed, (one) -> one.dataCentre().equals(dataCentre));
+			int least = IntStream.of(replicas).sum() / 80;
 			for (int layer = 0; layer < 80; layer++) {
 				assertThat(LayerPlanner.isSingleLayerRemainder(replicas, layer)).as("layer %s of %s", layer, dataCentre)
 					.isFalse();
+				assertThat(replicas[layer]).isGreaterThanOrEqualTo(least);
 			}
 		}
 	}
 
-	// The plan's layers divided evenly are what memory allows for all.
-	@ParameterizedTest
-	@EnumSource
-	void noLayerHasFewerReplicasInADataCentreThanThePlannedMemoryAllowsForAll(Fleet fleet) {
-		List<EnginePlacement> placed = place(fleet.engine, fleet.empty());
-		for (String dataCentre : List.of("a", "b", "c")) {
-			int[] replicas = replicas(placed, (one) -> one.dataCentre().equals(dataCentre));
-			int sum = 0;
-			int least = Integer.MAX_VALUE;
-			for (int count : replicas) {
-				sum += count;
-				least = Math.min(least, count);
-			}
-			assertThat(least).isGreaterThanOrEqualTo(sum / 80);
-		}
-	}
-
 	private static EnginePlacement engine(String id, String dataCentre, AcceleratorKind kind, int from, int to,
 			int streams) {
 		return new EnginePlacement(id, dataCentre, kind, Optional.of(new LayerRange(from, to)), false, streams);
@@ -110,10 +97,8 @@
 
 	@Test
 	void gapThatADataCentreCannotCloseIsClosedByEnginesOfAnother() {
-		List<EnginePlacement> fleet = new ArrayList<>();
-		fleet.add(engine("a-1", "a", Samples.FAST, 0, 37, 0));
-		fleet.add(engine("a-2", "a", Samples.FAST, 43, 80, 0));
-		fleet.add(engine("b-1", "b", Samples.MIDDLE, 27, 40, 0));
+		List<EnginePlacement> fleet = List.of(engine("a-1", "a", Samples.FAST, 0, 37, 0),
+				engine("a-2", "a", Samples.FAST, 43, 80, 0), engine("b-1", "b", Samples.MIDDLE, 27, 40, 0));
 		Map<String, LayerRange> orders = LayerPlanner.plan(Samples.engine(), fleet);
 		assertThat(orders).containsOnlyKeys("b-1");
 		assertThat(orders.get("b-1").to()).isGreaterThanOrEqualTo(43);
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementReplayTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementReplayTests.java
@@ -168,7 +168,7 @@
 
 		private long longestGapMs;
 
-		private long gapSinceMs = -1;
+		private long gapSinceMs;
 
 		private int lateOrders;
 
@@ -252,23 +252,10 @@
 		}
 
 		private void measureGap() {
-			boolean[] held = new boolean[LAYERS];
-			for (Engine engine : this.alive.values()) {
-				for (int layer = engine.held.from(); layer < engine.held.to(); layer++) {
-					held[layer] = true;
-				}
-			}
-			boolean complete = true;
-			for (boolean one : held) {
-				complete &= one;
-			}
-			if (this.nowMs >= FIRST_LOSS_MS && !complete) {
-				this.gapSinceMs = (this.gapSinceMs < 0) ? this.nowMs : this.gapSinceMs;
-				this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.gapSinceMs);
-			}
-			else {
-				this.gapSinceMs = -1;
-			}
+			List<LayerRange> ranges = this.alive.values().stream().map((engine) -> engine.held).toList();
+			boolean complete = new LayerCoverage(LAYERS, ranges).missingCount() == 0;
+			this.gapSinceMs = (this.nowMs < FIRST_LOSS_MS || complete) ? this.nowMs : this.gapSinceMs;
+			this.longestGapMs = Math.max(this.longestGapMs, this.nowMs - this.gapSinceMs);
 		}
 
 		@Override
