--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -140,7 +140,6 @@
 				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(), this.router.crashBlame(),
 				this.router);
 		this.peers.addExtension(new PlainLoadsExtension(this.router.plainLoads(), System::nanoTime));
-		this.peers.addExtension(this.router.admissionControl());
 		this.router.setRelayPeers(() -> this.peers.table().relayPeers(this.clock.nanos()));
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -144,13 +144,7 @@
 		RELAYS_DECLINED,
 
 		/** Sends that endpoints of plain services failed or refused. */
-		PLAIN_FAILURES,
-
-		/** Requests held back for more urgent ones while capacity was short. */
-		HELD_BACK_BY_PRIORITY,
-
-		/** Requests held back because their account had its share of short capacity. */
-		HELD_BACK_BY_ACCOUNT
+		PLAIN_FAILURES
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -254,19 +254,12 @@
 		if (this.router.isLost(this.admitted.service()) && dispatchElsewhere(now)) {
 			return;
 		}
-		boolean isDecided = this.sendCount == 0 && this.admitted.engine().isPresent();
-		if (isDecided && isHeldBack()) {
-			refuseOrSuspend("capacity is needed for other requests", "held back", this.router.capacityRetryMs());
-			return;
-		}
 		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
 		Optional<Endpoint> target = chooseTarget(now);
-		boolean isShort = target.isEmpty() && this.admitted.engine().isPresent()
-				&& this.router.recordMissingPath(id(), this.admitted, heldBack.size(), now);
-		if (isDecided && (isShort || target.isPresent())) {
-			this.router.gate().recordSearch(this.admitted, estimateTokens(), !isShort);
-		}
 		if (target.isEmpty()) {
+			if (this.admitted.engine().isPresent()) {
+				this.router.recordMissingPath(id(), this.admitted, heldBack.size(), now);
+			}
 			refuseOrSuspend("no endpoint can take the request now",
 					(heldBack.isEmpty()) ? "no endpoint" : "no endpoint within its limit",
 					this.router.retryAfterMs(this.admitted, heldBack, this::mayTake, now));
@@ -275,14 +268,6 @@
 		sendTo(target.get(), now);
 	}
 
-	// A request that may have run, or whose stream has started at another daemon, is
-	// never
-	// held back.
-	private boolean isHeldBack() {
-		boolean exempt = this.mayHaveRun || this.requestFields.lastEventId().isPresent();
-		return this.router.gate().holdsBack(this.admitted, estimateTokens(), exempt);
-	}
-
 	// No endpoint of the service can be reached from here; trials show when that ends.
 	// Returns false if one that has started since may be tried instead.
 	private boolean dispatchElsewhere(long now) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -20,7 +20,6 @@
 import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.EntrySettings;
-import org.comfreyslip.entry.admission.AdmissionControl;
 import org.comfreyslip.entry.blame.CrashBlame;
 import org.comfreyslip.entry.config.ElapsedClock;
 import org.comfreyslip.entry.config.KeyedFeed;
@@ -171,10 +170,6 @@
 
 	private final EntryMetrics metrics = new EntryMetrics();
 
-	private final AdmissionControl admissionControl;
-
-	private final CapacityGate gate;
-
 	private final EngineControl engines;
 
 	private final RandomGenerator random;
@@ -225,8 +220,6 @@
 		this.engines = engines;
 		this.random = random;
 		this.admission = new RequestAdmission(random);
-		this.admissionControl = new AdmissionControl(settings.dataCentre(), random);
-		this.gate = new CapacityGate(this.admissionControl, this.metrics, clock::nanos);
 		this.loads = new LayerLoads(random);
 		this.reachMonitor = new ReachMonitor(loop, directory, random, this);
 		this.pool = new EndpointPool(loop, (head) -> headers.readResponse(head), this.reachMonitor);
@@ -339,18 +332,6 @@
 		return this.relays;
 	}
 
-	/**
-	 * Returns what holds requests back while capacity is short.
-	 * @return the control, a part of the messages between daemons
-	 */
-	public AdmissionControl admissionControl() {
-		return this.admissionControl;
-	}
-
-	CapacityGate gate() {
-		return this.gate;
-	}
-
 	HeaderTranslator headers() {
 		return this.headers;
 	}
@@ -695,17 +676,15 @@
 	}
 
 	// Logs why no path was found: layers that no usable engine holds, or else a lack of
-	// capacity. Returns whether capacity is short.
-	boolean recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
+	// capacity.
+	void recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
 			long nowNanos) {
 		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
 		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
 		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
-		String missingLayers = finder.missingLayers(engines);
-		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engines.size(), "missing_layers", missingLayers,
-				"limited_engines", heldBackCount, "loads_age_ms",
+		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engines.size(), "missing_layers",
+				finder.missingLayers(engines), "limited_engines", heldBackCount, "loads_age_ms",
 				TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos)), "peers", this.loads.peerCount());
-		return missingLayers.isEmpty() && heldBackCount == 0;
 	}
 
 	private List<Endpoint> usableEngines(String service, long nowNanos) {
