--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementGroup.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementGroup.java
@@ -112,20 +112,7 @@
 	 * @return the number of layers; 0 if none fits
 	 */
 	int plannedSize(EnginePlacement placement) {
-		return sizeAt(placement, this.weightShare);
-	}
-
-	/**
-	 * Returns the largest number of layers that a plan gives to an engine.
-	 * @param placement an engine of the group
-	 * @return the number of layers that take {@link LayerPlanner#MAX_WEIGHT_SHARE}
-	 */
-	int largestPlannedSize(EnginePlacement placement) {
-		return sizeAt(placement, LayerPlanner.MAX_WEIGHT_SHARE);
-	}
-
-	private int sizeAt(EnginePlacement placement, double share) {
-		long size = Math.round(placement.kind().memoryMb() * share / this.engine.layerMb());
+		long size = Math.round(placement.kind().memoryMb() * this.weightShare / this.engine.layerMb());
 		return (int) Math.min(size, this.engine.maxLayers(placement.kind()));
 	}
 
