Move the limits of buffers into their own classes

Router held the limits on request bodies and responses beside unrelated state, and Exchange the buffer of a response. BufferLimits now keeps the sums and limits, and ResponseBuffer the body of one response. No change of behaviour: same limits, reserved and released at the same points.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -199,7 +199,7 @@
 				rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body exceeds the limit");
 				return;
 			}
-			if (!this.router.tryReserveBuffer(bytes.readableBytes())) {
+			if (!this.router.buffers().tryReserveRequest(bytes.readableBytes())) {
 				rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many request bodies at once");
 				return;
 			}
@@ -246,11 +246,11 @@
 
 	private void releaseRequests() {
 		if (this.receivingRequest != null) {
-			this.receivingRequest.release(this.router);
+			this.receivingRequest.release(this.router.buffers());
 			this.receivingRequest = null;
 		}
 		while (!this.queuedRequests.isEmpty()) {
-			this.queuedRequests.removeFirst().release(this.router);
+			this.queuedRequests.removeFirst().release(this.router.buffers());
 		}
 	}
 
@@ -481,8 +481,8 @@
 			this.body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
 		}
 
-		void release(Router router) {
-			router.releaseBuffer(bodySize());
+		void release(BufferLimits buffers) {
+			buffers.releaseRequest(bodySize());
 			this.body = Unpooled.EMPTY_BUFFER;
 		}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -160,7 +159,7 @@
 
 	private HeaderTranslator.ResponseFields responseFields;
 
-	private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
+	private final ResponseBuffer responseBuffer;
 
 	/** Whether the response of the current send is relayed to the caller as a stream. */
 	private boolean relayingStream;
@@ -184,6 +183,7 @@
 		this.caller = caller;
 		this.callerRequest = callerRequest;
 		this.requestFields = router.headers().readRequest(callerRequest.head());
+		this.responseBuffer = new ResponseBuffer(router.buffers());
 		callerRequest.envelope().ifPresent((envelope) -> {
 			this.mayHaveRun = envelope.mayHaveRun();
 			this.endpointsThatMayHaveRun.addAll(envelope.triedEndpoints());
@@ -450,8 +450,7 @@
 		this.endpoint = null;
 		this.peer = null;
 		this.connection = null;
-		this.router.releaseResponse(this.responseBody.readableBytes());
-		this.responseBody = Unpooled.EMPTY_BUFFER;
+		this.responseBuffer.clear();
 	}
 
 	@Override
@@ -528,14 +527,9 @@
 
 	private void bufferContent(ByteBuf content) {
 		this.progress.onAnswer(System.nanoTime());
-		if (!this.router.tryReserveResponse(this.responseBody.readableBytes(), content.readableBytes())) {
+		if (!this.responseBuffer.tryAppend(content)) {
 			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
-			return;
-		}
-		if (this.responseBody == Unpooled.EMPTY_BUFFER) {
-			this.responseBody = Unpooled.buffer(content.readableBytes());
 		}
-		this.responseBody.writeBytes(content);
 	}
 
 	// Sends the response head to the caller unless an earlier send of the stream did so.
@@ -653,7 +647,7 @@
 
 	private void relayPlainResponse(Outcome outcome, long now) {
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.responseHead.status(),
-				this.responseBody, relayedHeaders(), EmptyHttpHeaders.INSTANCE);
+				this.responseBuffer.body(), relayedHeaders(), EmptyHttpHeaders.INSTANCE);
 		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
 		endSend((response.status().code() < 500) ? (now - this.sentAtNanos) / 1e6 : -1);
 		finish(outcome, "status " + response.status().code());
@@ -975,7 +969,7 @@
 		if (this.countedAsTaken) {
 			this.router.relays().release();
 		}
-		this.callerRequest.release(this.router);
+		this.callerRequest.release(this.router.buffers());
 		this.router.onRequestClosed(this, outcome, reason);
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -64,29 +64,6 @@
 	 */
 	static final long PROBE_INTERVAL_MS = 200;
 
-	/**
-	 * Largest total size of the buffered request bodies, in bytes; a sixth of the memory
-	 * of the smallest process.
-	 */
-	private static final long MAX_BUFFERED_BYTES = 48L << 20;
-
-	/**
-	 * Largest total size of the responses that are buffered until they are complete, in
-	 * bytes, without {@link #MIN_RESPONSE_BYTES} of each.
-	 */
-	private static final long MAX_BUFFERED_RESPONSE_BYTES = 24L << 20;
-
-	/** Largest response that is buffered until it is complete, in bytes. */
-	private static final long MAX_RESPONSE_BYTES = 8L << 20;
-
-	/**
-	 * Size that each response may have however much the others take, in bytes.
-	 */
-	private static final long MIN_RESPONSE_BYTES = 64L << 10;
-
-	/** Largest part of the free buffer space that one response may take. */
-	private static final double RESPONSE_PART_OF_FREE = 0.25;
-
 	/**
 	 * Least time after which a caller may retry when capacity is missing, in ms: a
 	 * fraction of the duration of a stream.
@@ -174,6 +151,8 @@
 
 	private final RandomGenerator random;
 
+	private final BufferLimits buffers = new BufferLimits();
+
 	private final Set<CallerConnection> callers = new HashSet<>();
 
 	private final Set<Exchange> openExchanges = new HashSet<>();
@@ -193,12 +172,6 @@
 	/** Whether responses announce that their connection closes. */
 	private boolean stopping;
 
-	/** Total size of the request bodies that are buffered now. */
-	private long bufferedBytes;
-
-	/** Total size of the responses that are buffered now. */
-	private long bufferedResponseBytes;
-
 	/**
 	 * Creates a router that reads no requests until {@link #acceptRequests()}.
 	 * @param loop the event loop on which everything runs
@@ -344,6 +317,10 @@
 		return this.plainSelector;
 	}
 
+	BufferLimits buffers() {
+		return this.buffers;
+	}
+
 	RequestLimits limits() {
 		return this.limits;
 	}
@@ -570,37 +547,6 @@
 		this.callers.remove(caller);
 	}
 
-	// Reserves memory for a part of a request body; returns false if the limit is
-	// reached.
-	boolean tryReserveBuffer(int bytes) {
-		if (this.bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
-			return false;
-		}
-		this.bufferedBytes += bytes;
-		return true;
-	}
-
-	void releaseBuffer(int bytes) {
-		this.bufferedBytes -= bytes;
-	}
-
-	// Reserves memory for the next bytes of a response; returns false if it may not grow
-	// any more. The limit falls as the buffer fills, so that responses without end leave
-	// room for the others.
-	boolean tryReserveResponse(int size, int nextBytes) {
-		long free = MAX_BUFFERED_RESPONSE_BYTES - this.bufferedResponseBytes;
-		long limit = Math.max(MIN_RESPONSE_BYTES, Math.min(MAX_RESPONSE_BYTES, (long) (RESPONSE_PART_OF_FREE * free)));
-		if (size + (long) nextBytes > limit) {
-			return false;
-		}
-		this.bufferedResponseBytes += nextBytes;
-		return true;
-	}
-
-	void releaseResponse(int bytes) {
-		this.bufferedResponseBytes -= bytes;
-	}
-
 	void logRejection(int status, String reason) {
 		EntryLog.write(EntryEvent.REQUEST_REJECTED, "unread", "status", status, "why", reason);
 	}
