Move the log lines and counters of requests into RequestLog

Router built the log lines of single requests beside the state that all requests share, so each new line grew it. RequestLog now writes them and updates their counters. No change of behaviour: the same events with the same keys, and the same counters.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -237,7 +237,7 @@
 			this.closing = true;
 			return;
 		}
-		this.router.logRejection(status.code(), message);
+		this.router.log().recordRejection(status.code(), message);
 		releaseRequests();
 		this.closing = true;
 		this.closeAfterResponse = true;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -212,7 +212,7 @@
 		}
 		if (isOfOtherDaemon()) {
 			this.countedAsTaken = true;
-			this.router.recordRelay(EntryMetrics.Count.RELAYS_TAKEN);
+			this.router.log().count(EntryMetrics.Count.RELAYS_TAKEN);
 		}
 		RequestAdmission.Admission admission = this.router.admit(this.callerRequest, this.requestFields);
 		if (admission.refusal() != null) {
@@ -303,7 +303,7 @@
 
 	// Tells the daemon that passed the request on that it has not run here.
 	private void decline(String reason) {
-		this.router.recordRelay(EntryMetrics.Count.RELAYS_DECLINED);
+		this.router.log().count(EntryMetrics.Count.RELAYS_DECLINED);
 		DefaultFullHttpResponse response = OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, -1);
 		new RelayReply(RelayReply.Kind.DECLINED, id()).writeTo(response.headers());
 		finish(Outcome.REFUSED, "declined: " + reason);
@@ -367,7 +367,7 @@
 							Optional.ofNullable(this.path), resumeAfter(), this.admitted.priority()));
 		DefaultFullHttpRequest request = createRequest(headers);
 		if (this.path != null) {
-			this.router.recordPath(id(), this.path, now);
+			this.router.log().recordPath(id(), this.path, now);
 			this.router.loads().reserve(this.path, this.reservedTokens);
 			this.router.monitorPath(this.path, now);
 		}
@@ -392,7 +392,7 @@
 		headers.set(RelayEnvelope.FIELD,
 				RelayEnvelope.of(this.admitted.version(), this.mayHaveRun, this.endpointsThatMayHaveRun).encode());
 		this.sentTo.add("through:" + target.name());
-		this.router.recordRelay(EntryMetrics.Count.RELAYED);
+		this.router.log().count(EntryMetrics.Count.RELAYED);
 		this.connection = this.router.relays()
 			.send(target, createRequest(headers), id(), !this.admitted.route().mayRunAgain(), this);
 	}
@@ -536,7 +536,7 @@
 	private void startStreamIfNeeded() {
 		if (!this.streamStarted) {
 			this.streamStarted = true;
-			this.router.onFirstEvent(this.callerRequest.arrivalNanos(), this.lastProgressNanos);
+			this.router.log().recordFirstEvent(this.callerRequest.arrivalNanos(), this.lastProgressNanos);
 			this.caller.startStreamedResponse(this.responseHead, relayedHeaders());
 		}
 	}
@@ -715,7 +715,7 @@
 	// Ends the current send and dispatches the request again, to any endpoint that is not
 	// excluded.
 	private void dispatchAgain(String reason) {
-		this.router.recordMove(id(), this.endpoint.id(), reason);
+		this.router.log().recordMove(id(), this.endpoint.id(), reason);
 		endSend(-1);
 		dispatch();
 	}
@@ -731,8 +731,9 @@
 			return;
 		}
 		String endpointId = this.endpoint.id();
-		this.router.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
-				this.requestFields.sharedPromptParts(), this.digest);
+		this.router.log()
+			.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
+					this.requestFields.sharedPromptParts(), this.digest);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.sendCount < MAX_SENDS) {
@@ -790,7 +791,7 @@
 		boolean mayRunAgain = this.admitted.route().mayRunAgain() && (hasAttemptsLeft() || this.streamStarted)
 				&& this.sendCount < maxSends();
 		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
-			this.router.recordMove(id(), name, cause.name());
+			this.router.log().recordMove(id(), name, cause.name());
 			endSend(-1);
 			dispatch();
 			return;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -16,8 +16,6 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import org.comfreyslip.entry.EntryEvent;
-import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.EntrySettings;
 import org.comfreyslip.entry.blame.CrashBlame;
@@ -106,9 +104,6 @@
 	 */
 	private static final long SILENCE_MS = 300;
 
-	/** Largest number of parts of a prompt in a log line. */
-	private static final int MAX_LOGGED_PARTS = 8;
-
 	private EntrySettings settings;
 
 	private final HeaderTranslator headers;
@@ -147,6 +142,8 @@
 
 	private final EntryMetrics metrics = new EntryMetrics();
 
+	private final RequestLog log;
+
 	private final EngineControl engines;
 
 	private final RandomGenerator random;
@@ -194,6 +191,7 @@
 		this.random = random;
 		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
+		this.log = new RequestLog(this.metrics, this.loads);
 		this.reachMonitor = new ReachMonitor(loop, directory, random, this);
 		this.pool = new EndpointPool(loop, (head) -> headers.readResponse(head), this.reachMonitor);
 		this.relays = new PeerRelays(loop, headers, settings.dataCentre(), this.reachMonitor.reach(), random);
@@ -317,6 +315,10 @@
 		return this.plainSelector;
 	}
 
+	RequestLog log() {
+		return this.log;
+	}
+
 	BufferLimits buffers() {
 		return this.buffers;
 	}
@@ -437,10 +439,6 @@
 		return (this.relays.tryTake()) ? Optional.empty() : Optional.of("too many requests of other daemons");
 	}
 
-	void recordRelay(EntryMetrics.Count count) {
-		this.metrics.increment(count);
-	}
-
 	/**
 	 * Applies the settings that may change while the daemon runs: the freshness of keys
 	 * and the retry budget.
@@ -547,10 +545,6 @@
 		this.callers.remove(caller);
 	}
 
-	void logRejection(int status, String reason) {
-		EntryLog.write(EntryEvent.REQUEST_REJECTED, "unread", "status", status, "why", reason);
-	}
-
 	RequestAdmission.Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
 		return this.admission.admit(request, fields, this.configuration, this.routeTable,
 				this.configurationFeed.ageNanos(this.clock.nanos()));
@@ -608,29 +602,13 @@
 		return (limited) ? this.endpointLimits.retryAfterMs(heldBack, this.random, nowNanos) : capacityRetryMs();
 	}
 
-	// Logs the path that a send takes, and what the search knew when it chose it.
-	void recordPath(String requestId, LayerPath path, long nowNanos) {
-		long loadsAgeMs = TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos));
-		this.metrics.record(EntryMetrics.Time.PEER_LOADS_AGE, loadsAgeMs);
-		int crossings = path.crossedLinks().size();
-		if (crossings > 0) {
-			this.metrics.increment(EntryMetrics.Count.PATHS_ACROSS_DATA_CENTRES);
-		}
-		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", crossings, "token_ms",
-				Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
-				this.loads.peerCount());
-	}
-
 	// Logs why no path was found: layers that no usable engine holds, or else a lack of
 	// capacity.
 	void recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
 			long nowNanos) {
-		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
 		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
 		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
-		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engines.size(), "missing_layers",
-				finder.missingLayers(engines), "limited_engines", heldBackCount, "loads_age_ms",
-				TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos)), "peers", this.loads.peerCount());
+		this.log.recordMissingPath(requestId, engines.size(), finder.missingLayers(engines), heldBackCount, nowNanos);
 	}
 
 	private List<Endpoint> usableEngines(String service, long nowNanos) {
@@ -653,7 +631,7 @@
 	// path.
 	@Override
 	public void onEnded(Endpoint endpoint, long nowNanos) {
-		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
+		this.log.recordEnded(endpoint);
 		boolean leaving = this.directory.findUsable(endpoint.id()).isEmpty();
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
 		if (!leaving) {
@@ -729,14 +707,8 @@
 
 	void onRequestClosed(Exchange exchange, Outcome outcome, String reason) {
 		this.openExchanges.remove(exchange);
-		this.metrics.increment(outcome.count());
-		this.metrics.record(EntryMetrics.Time.REQUEST, exchange.ageMs());
-		EntryLog.write(EntryEvent.REQUEST_CLOSED, exchange.id(), "outcome", outcome, "why", reason, "detail",
-				exchange.describeSends(), "version", (this.configuration != null) ? this.configuration.version() : -1);
-	}
-
-	void onFirstEvent(long arrivalNanos, long nowNanos) {
-		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos));
+		this.log.recordClosed(exchange.id(), outcome, reason, exchange.ageMs(), exchange.describeSends(),
+				configurationVersion());
 	}
 
 	void onSend(Endpoint endpoint) {
@@ -748,13 +720,6 @@
 				nowNanos);
 	}
 
-	// Logs that a send ended without a complete response.
-	void recordBrokenSend(String requestId, Endpoint endpoint, SendFailureCause cause, String progress,
-			List<String> promptParts, String digest) {
-		EntryLog.write(EntryEvent.SEND_BROKEN, requestId, "endpoint", endpoint.id(), "cause", cause, "progress",
-				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList(), "digest", digest);
-	}
-
 	// Returns after what time a request like this may be let through again, if such
 	// requests crash the endpoints that begin to answer them.
 	OptionalLong crashRefusalMs(Set<String> traits, long nowNanos) {
@@ -770,7 +735,7 @@
 	void onPlainEnd(Endpoint endpoint, long sentAtNanos, double tookMs) {
 		this.plainSelector.recordCompletion(endpoint.id(), sentAtNanos, tookMs, System.nanoTime());
 		if (tookMs >= 0) {
-			this.metrics.record(EntryMetrics.Time.PLAIN_RESPONSE, Math.round(tookMs));
+			this.log.recordPlainResponse(tookMs);
 		}
 	}
 
@@ -783,17 +748,11 @@
 		}
 	}
 
-	void recordMove(String requestId, String endpoint, String reason) {
-		this.metrics.increment(EntryMetrics.Count.MOVED);
-		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
-	}
-
 	// Records a fault against the endpoint that caused a refusal; returns whether it is
 	// another endpoint than the one that the request was sent to.
 	boolean recordEndpointRefusal(Endpoint target, String faultyAddress, int status, long nowNanos) {
 		Endpoint faulty = findByAddress(target.service(), faultyAddress).orElse(target);
-		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, faulty.id(), "asked", target.id(), "status", status);
-		this.metrics.increment(EntryMetrics.Count.ENDPOINTS_BLAMED);
+		this.log.recordBlame(faulty, target, status);
 		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
 		if (faulty.layers().isEmpty()) {
 			this.plainSelector.recordFailure(faulty.id(), nowNanos);
@@ -821,7 +780,7 @@
 				fetchReport(endpoint, (report) -> report.ifPresent((engineReport) -> {
 					this.slowdowns.recordOwnReport(endpoint.id(), engineReport.slowdownFactor(), System.nanoTime());
 					if (engineReport.slowdownFactor() > EngineSlowdowns.SLOW_FACTOR) {
-						EntryLog.write(EntryEvent.ENGINE_SLOW, endpoint.id(), "pace", engineReport.slowdownFactor());
+						this.log.recordSlowEngine(endpoint, engineReport.slowdownFactor());
 					}
 				}));
 			}
@@ -877,7 +836,7 @@
 				}
 			}
 		}
-		EntryLog.write(EntryEvent.STREAM_INQUIRED, exchange.id(), "first", first.id(), "verdict", result);
+		this.log.recordProbe(exchange.id(), first, result);
 		return result;
 	}
 
