Move the probes of streams and the limits of silence into their own classes

Router kept the probes that wait for a report, and Exchange the times and intervals of its stream's probes. StreamProbes now runs the probes, StreamActivity keeps how long a request has been without progress, and SilenceLimits gives the times after which something is done. No change of behaviour: the same probes at the same times, with the same log lines.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.model.SocketAddresses;
 
 /**
  * The registered endpoints. Registrations expire while the store is unavailable and
@@ -189,6 +190,18 @@
 		return Optional.ofNullable(this.lapsed.get(id)).map(Lapsed::endpoint);
 	}
 
+	/**
+	 * Finds an endpoint of a service that may receive new requests by its address.
+	 * @param service name of the service
+	 * @param address the address as text, as {@link SocketAddresses#text} writes it
+	 * @return the endpoint; empty if no such endpoint is usable
+	 */
+	public Optional<Endpoint> findUsableAt(String service, String address) {
+		return usableEndpoints(service).stream()
+			.filter((endpoint) -> SocketAddresses.text(endpoint.address()).equals(address))
+			.findFirst();
+	}
+
 	/**
 	 * Returns a number that increases whenever the usable endpoints may have changed.
 	 * @return the number, 0 before the first registration
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -63,9 +63,6 @@
 	 */
 	private static final long DAEMON_SILENCE_MS = 1_200;
 
-	/** Weight of the newest gap in the moving average of the gaps between events. */
-	private static final double NEWEST_GAP_WEIGHT = 0.25;
-
 	private final Router router;
 
 	private final CallerConnection caller;
@@ -136,23 +133,7 @@
 	/** Steady time in ns at which the current send began. */
 	private long sentAtNanos;
 
-	/**
-	 * Steady time in ns of the last progress: a send, the head or events of a stream, or
-	 * a change of back-pressure.
-	 */
-	private long lastProgressNanos;
-
-	/** Steady time in ns of the last probe; 0 before the first one. */
-	private long lastProbeNanos;
-
-	/** Whether the result of a probe for this stream is still due. */
-	private boolean probeRunning;
-
-	/** Least time to the next probe, in ms; doubles with each probe without progress. */
-	private long probeIntervalMs = Router.PROBE_INTERVAL_MS;
-
-	/** Moving average of the gaps between events, in ms. */
-	private double meanEventGapMs;
+	private final StreamActivity activity = new StreamActivity();
 
 	/** Response head of the current send, or null before it arrives. */
 	private HttpResponse responseHead;
@@ -404,7 +385,7 @@
 		this.relayingStream = false;
 		this.sentAtNanos = now;
 		this.progress = new SendProgress(now);
-		this.lastProgressNanos = now;
+		this.activity.onProgress(now);
 	}
 
 	private HttpHeaders copyRequestHeaders() {
@@ -470,7 +451,7 @@
 				&& (this.peer == null || repliesFor(head, RelayReply.Kind.ENDPOINT));
 		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
 		if (this.relayingStream) {
-			this.lastProgressNanos = System.nanoTime();
+			this.activity.onProgress(System.nanoTime());
 		}
 	}
 
@@ -509,14 +490,10 @@
 		if (this.endpoint != null) {
 			this.router.onContact(this.admitted.service(), now);
 		}
-		double gapMs = (now - this.lastProgressNanos) / 1e6;
-		this.lastProgressNanos = now;
-		this.probeIntervalMs = Router.PROBE_INTERVAL_MS;
-		if (this.streamStarted) {
-			this.meanEventGapMs += NEWEST_GAP_WEIGHT * (gapMs - this.meanEventGapMs);
-			if (this.path != null && this.meanEventGapMs > this.router.slowEventGapMs(this.admitted.route())) {
-				this.router.probeSlowStream(this.path, now);
-			}
+		this.activity.onEvents(this.streamStarted, now);
+		if (this.streamStarted && this.path != null
+				&& this.activity.meanEventGapMs() > SilenceLimits.slowEventGapMs(this.admitted.route())) {
+			this.router.probes().probeSlowStream(this.path, now);
 		}
 	}
 
@@ -536,7 +513,7 @@
 	private void startStreamIfNeeded() {
 		if (!this.streamStarted) {
 			this.streamStarted = true;
-			this.router.log().recordFirstEvent(this.callerRequest.arrivalNanos(), this.lastProgressNanos);
+			this.router.log().recordFirstEvent(this.callerRequest.arrivalNanos(), this.activity.lastProgressNanos());
 			this.caller.startStreamedResponse(this.responseHead, relayedHeaders());
 		}
 	}
@@ -569,7 +546,7 @@
 	void onCallerWritable(boolean writable) {
 		if (this.connection != null && this.relayingStream) {
 			this.connection.setReading(writable);
-			this.lastProgressNanos = System.nanoTime();
+			this.activity.onProgress(System.nanoTime());
 		}
 	}
 
@@ -1002,7 +979,7 @@
 			}
 			return;
 		}
-		long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastProgressNanos);
+		long silenceMs = this.activity.silenceMs(nowNanos);
 		Route route = this.admitted.route();
 		if (this.peer != null) {
 			if (silenceMs >= DAEMON_SILENCE_MS) {
@@ -1018,7 +995,7 @@
 			probeSilentStream(nowNanos, silenceMs, route);
 		}
 		else if (route.mayRunAgain() && this.writeStarted && this.responseHead == null
-				&& silenceMs >= this.router.plainSilenceLimitMs(route)
+				&& silenceMs >= SilenceLimits.plainMs(route)
 				&& this.endpointsThatMayHaveRun.size() + 1 < route.maxAttempts()) {
 			abandonSend(SendFailureCause.SILENT);
 		}
@@ -1026,21 +1003,16 @@
 
 	// Probes the first endpoint of a stream that made no progress for too long.
 	private void probeSilentStream(long nowNanos, long silenceMs, Route route) {
-		long silenceLimitMs = (this.streamStarted) ? this.router.eventGapLimitMs(route)
-				: this.router.firstEventLimitMs(route);
-		boolean probedRecently = this.probeRunning
-				|| TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastProbeNanos) < this.probeIntervalMs;
-		if (!this.writeStarted || silenceMs < silenceLimitMs || probedRecently || !this.caller.isWritable()) {
+		long silenceLimitMs = (this.streamStarted) ? SilenceLimits.eventGapMs(route)
+				: SilenceLimits.firstEventMs(route);
+		if (!this.writeStarted || silenceMs < silenceLimitMs || this.activity.isProbedRecently(nowNanos)
+				|| !this.caller.isWritable()) {
 			return;
 		}
-		this.probeRunning = true;
-		if (this.lastProbeNanos - this.lastProgressNanos > 0) {
-			this.probeIntervalMs = 2 * this.probeIntervalMs;
-		}
-		this.lastProbeNanos = nowNanos;
+		this.activity.onProbeStarted(nowNanos);
 		EndpointConnection probedConnection = this.connection;
-		this.router.probeStream(this, this.endpoint, (result) -> {
-			this.probeRunning = false;
+		this.router.probes().probeSilentStream(this, this.endpoint, (result) -> {
+			this.activity.onProbeEnded();
 			if (!this.finished && probedConnection == this.connection) {
 				result.failureCause().ifPresent(this::abandonSend);
 			}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
@@ -167,7 +167,7 @@
 	 * @param first the first endpoint of its path
 	 * @param result the result
 	 */
-	void recordProbe(String requestId, Endpoint first, Object result) {
+	void recordProbe(String requestId, Endpoint first, ProbeResult result) {
 		EntryLog.write(EntryEvent.STREAM_INQUIRED, requestId, "first", first.id(), "verdict", result);
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -2,15 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -35,9 +32,7 @@
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.RequestLimits;
-import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.ServiceSpec;
-import org.comfreyslip.entry.model.SocketAddresses;
 import org.comfreyslip.entry.reach.EndpointReach;
 import org.comfreyslip.entry.reach.OwnReach;
 import org.comfreyslip.entry.reach.RelayPeer;
@@ -56,12 +51,6 @@
 	 */
 	static final long STALE_RETRY_MS = 400;
 
-	/**
-	 * Least time between two probes for one stream, in ms: the age of the engines'
-	 * reports.
-	 */
-	static final long PROBE_INTERVAL_MS = 200;
-
 	/**
 	 * Least time after which a caller may retry when capacity is missing, in ms: a
 	 * fraction of the duration of a stream.
@@ -74,24 +63,6 @@
 	 */
 	private static final int ASSUMED_DAEMONS = 12;
 
-	/**
-	 * Multiple of the latency target after which an idempotent request without a response
-	 * is sent to another endpoint.
-	 */
-	private static final int MAX_SILENT_LATENCY_TARGETS = 2;
-
-	/**
-	 * Share of the route's target for the gap between events after which a silent stream
-	 * is probed, in percent.
-	 */
-	private static final int GAP_LIMIT_PERCENT = 75;
-
-	/**
-	 * Gap between events after which a silent stream is probed on a route without a
-	 * target, in ms.
-	 */
-	private static final long DEFAULT_GAP_LIMIT_MS = 300;
-
 	/**
 	 * Time without an established connection after which the way to the endpoints is
 	 * checked, in ms: many round trips.
@@ -144,7 +115,7 @@
 
 	private final RequestLog log;
 
-	private final EngineControl engines;
+	private final StreamProbes probes;
 
 	private final RandomGenerator random;
 
@@ -154,9 +125,6 @@
 
 	private final Set<Exchange> openExchanges = new HashSet<>();
 
-	/** Callbacks that wait for the report of an engine, by identity of the endpoint. */
-	private final Map<String, List<Consumer<Optional<EngineControl.Report>>>> pendingProbes = new HashMap<>();
-
 	private Configuration configuration;
 
 	private RouteTable routeTable;
@@ -187,7 +155,6 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.configurationFeed = configurationFeed;
-		this.engines = engines;
 		this.random = random;
 		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
@@ -197,6 +164,8 @@
 		this.relays = new PeerRelays(loop, headers, settings.dataCentre(), this.reachMonitor.reach(), random);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
+		this.probes = new StreamProbes(engines, directory, this.endpointLimits, this.slowdowns, this.log,
+				this::recordUnreachable);
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
 		this.plainLoads = new PlainLoads(System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
@@ -319,6 +288,10 @@
 		return this.log;
 	}
 
+	StreamProbes probes() {
+		return this.probes;
+	}
+
 	BufferLimits buffers() {
 		return this.buffers;
 	}
@@ -674,28 +647,6 @@
 		return this.retryBudget.tryTakeRetry(service, nowNanos);
 	}
 
-	// Returns the time without a response after which an idempotent request to a plain
-	// service is sent to another endpoint, in ms.
-	long plainSilenceLimitMs(Route route) {
-		return MAX_SILENT_LATENCY_TARGETS * route.targetLatencyMs();
-	}
-
-	// Returns the time without events after which a stream that has started is probed, in
-	// ms.
-	long eventGapLimitMs(Route route) {
-		return (route.targetGapMs() > 0) ? GAP_LIMIT_PERCENT * route.targetGapMs() / 100 : DEFAULT_GAP_LIMIT_MS;
-	}
-
-	// Returns the mean gap between events above which a stream counts as slow, in ms.
-	long slowEventGapMs(Route route) {
-		return eventGapLimitMs(route) / 2;
-	}
-
-	// Returns the time without a first event after which a stream is probed, in ms.
-	long firstEventLimitMs(Route route) {
-		return Math.max(route.targetLatencyMs(), DEFAULT_GAP_LIMIT_MS);
-	}
-
 	void onRequestOpened(Exchange exchange, RequestAdmission.AdmittedRequest admitted) {
 		this.openExchanges.add(exchange);
 		this.metrics.increment(EntryMetrics.Count.REQUESTS);
@@ -751,7 +702,7 @@
 	// Records a fault against the endpoint that caused a refusal; returns whether it is
 	// another endpoint than the one that the request was sent to.
 	boolean recordEndpointRefusal(Endpoint target, String faultyAddress, int status, long nowNanos) {
-		Endpoint faulty = findByAddress(target.service(), faultyAddress).orElse(target);
+		Endpoint faulty = this.directory.findUsableAt(target.service(), faultyAddress).orElse(target);
 		this.log.recordBlame(faulty, target, status);
 		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
 		if (faulty.layers().isEmpty()) {
@@ -761,85 +712,12 @@
 		return !faulty.id().equals(target.id());
 	}
 
-	private Optional<Endpoint> findByAddress(String service, String address) {
-		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
-			if (SocketAddresses.text(endpoint.address()).equals(address)) {
-				return Optional.of(endpoint);
-			}
-		}
-		return Optional.empty();
-	}
-
-	// Probes the engines of a slow stream for their slowdown factors, as far as their
-	// limits allow.
-	void probeSlowStream(LayerPath path, long nowNanos) {
-		for (LayerPath.Stage stage : path.stages()) {
-			Endpoint endpoint = stage.endpoint();
-			if (this.endpointLimits.maySend(endpoint, nowNanos)
-					&& this.slowdowns.tryStartProbe(endpoint.id(), nowNanos)) {
-				fetchReport(endpoint, (report) -> report.ifPresent((engineReport) -> {
-					this.slowdowns.recordOwnReport(endpoint.id(), engineReport.slowdownFactor(), System.nanoTime());
-					if (engineReport.slowdownFactor() > EngineSlowdowns.SLOW_FACTOR) {
-						this.log.recordSlowEngine(endpoint, engineReport.slowdownFactor());
-					}
-				}));
-			}
-		}
-	}
-
-	// Probes the first endpoint of a stream's path for whether the stream waits for
-	// another endpoint. Streams with the same first endpoint share one probe.
-	void probeStream(Exchange exchange, Endpoint first, Consumer<ProbeResult> callback) {
-		Consumer<Optional<EngineControl.Report>> onReport = (report) -> callback
-			.accept(evaluateProbe(exchange, first, report));
-		List<Consumer<Optional<EngineControl.Report>>> waiting = this.pendingProbes.get(first.id());
-		if (waiting != null) {
-			waiting.add(onReport);
-			return;
-		}
-		if (!this.endpointLimits.maySend(first, System.nanoTime())) {
-			callback.accept(ProbeResult.HELD_BACK);
-			return;
-		}
-		this.pendingProbes.put(first.id(), new ArrayList<>(List.of(onReport)));
-		fetchReport(first, (report) -> this.pendingProbes.remove(first.id()).forEach((one) -> one.accept(report)));
-	}
-
-	private void fetchReport(Endpoint endpoint, Consumer<Optional<EngineControl.Report>> callback) {
-		onSend(endpoint);
-		this.metrics.increment(EntryMetrics.Count.REPORTS_FETCHED);
-		this.engines.fetchReport(endpoint, callback);
-	}
-
 	// Trials show whether the fault is the endpoint's.
 	private void recordUnreachable(Endpoint endpoint, long nowNanos) {
 		this.faults.recordFault(FaultKind.UNREACHABLE, endpoint.id(), nowNanos);
 		this.reachMonitor.doubt(endpoint.service(), nowNanos);
 	}
 
-	private ProbeResult evaluateProbe(Exchange exchange, Endpoint first, Optional<EngineControl.Report> report) {
-		long now = System.nanoTime();
-		ProbeResult result = ProbeResult.WORKING;
-		if (report.isEmpty()) {
-			recordUnreachable(first, now);
-			result = ProbeResult.UNREACHABLE;
-		}
-		else {
-			for (EngineControl.StalledRequest stalled : report.get().stalledRequests()) {
-				if (stalled.attemptId().equals(exchange.id())) {
-					findByAddress(first.service(), stalled.unresponsiveAddress())
-						.ifPresent((endpoint) -> recordUnreachable(endpoint, now));
-					boolean onPath = exchange.path()
-						.filter((path) -> path.usesLaterAddress(stalled.unresponsiveAddress()))
-						.isPresent();
-					result = (onPath) ? ProbeResult.STALLED : ProbeResult.STALLED_OFF_PATH;
-				}
-			}
-		}
-		this.log.recordProbe(exchange.id(), first, result);
-		return result;
-	}
-
 	/**
 	 * Checks the deadlines and the progress of all open requests. Called periodically.
 	 * @param nowNanos the current steady time in ns
@@ -866,38 +744,4 @@
 		this.monitor.updateConnections(nowNanos);
 	}
 
-	/** Result of a probe for a stream. */
-	enum ProbeResult {
-
-		/** The first endpoint reports no stall of the stream. */
-		WORKING(null),
-
-		/** The first endpoint's limit allows no probe now. */
-		HELD_BACK(null),
-
-		/** The stream waits for another endpoint of its path, which does not respond. */
-		STALLED(SendFailureCause.LATER_STAGE_LOST),
-
-		/** The stream waits for an endpoint that is no later stage of its path. */
-		STALLED_OFF_PATH(SendFailureCause.SILENT),
-
-		/** The first endpoint sent no report. */
-		UNREACHABLE(SendFailureCause.SILENT);
-
-		private final SendFailureCause failureCause;
-
-		ProbeResult(SendFailureCause failureCause) {
-			this.failureCause = failureCause;
-		}
-
-		/**
-		 * Returns why the send should end.
-		 * @return the cause; empty if it should not
-		 */
-		Optional<SendFailureCause> failureCause() {
-			return Optional.ofNullable(this.failureCause);
-		}
-
-	}
-
 }
