Move the choice of the target of a send into TargetSelector

Exchange and Router shared the choice between an endpoint, a path and another daemon, with the limits on attempts spread over six fields. TargetSelector now chooses, SendAttempts keeps the sends of a request and their limits, and dispatch() and the resumption of a stream use the same choice. The absence of a target ends in one place, onNoTarget().

The choices, their order and the random numbers that they draw are the same. One log value can differ: the path of the last send is kept until the next send, so a probe that ends after its send, while no path is found, states STALLED instead of STALLED_OFF_PATH; it has no effect.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -1,7 +1,5 @@
 package org.comfreyslip.entry.http;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -36,15 +34,6 @@
  */
 final class Exchange implements ResponseListener {
 
-	/** Largest number of sends of one request, including those that endpoints refuse. */
-	private static final int MAX_SENDS = 5;
-
-	/**
-	 * Largest number of sends of a stream that has started; more than {@link #MAX_SENDS}
-	 * because its caller has part of the response.
-	 */
-	private static final int MAX_STREAM_SENDS = 12;
-
 	/**
 	 * Time between two attempts to find a path for a suspended stream, in ms: a few steps
 	 * of a placement.
@@ -71,15 +60,14 @@
 
 	private final HeaderTranslator.RequestFields requestFields;
 
-	/** Endpoints to which the request is not sent again, until it is suspended. */
-	private final Set<String> excludedEndpoints = new HashSet<>();
-
-	/** Endpoints of all sends so far, in their order, for the log. */
-	private final List<String> sentTo = new ArrayList<>();
-
 	/** The admitted request, or null before admission. */
 	private RequestAdmission.AdmittedRequest admitted;
 
+	private final SendAttempts attempts;
+
+	/** What the choice of a target depends on, or null before admission. */
+	private TargetQuery query;
+
 	/** Digest that only this request has when it is sent again. */
 	private String digest = "";
 
@@ -92,14 +80,11 @@
 	/** Steady time in ns at which the request times out. */
 	private long deadlineNanos;
 
-	/** The endpoint of the current send, or null if it is to no endpoint. */
-	private Endpoint endpoint;
+	/** The target of the current or last send, or null before the first one. */
+	private SendTarget target;
 
-	/** The daemon that the current send passes the request on to, or null. */
-	private RelayPeer peer;
-
-	/** Names of the daemons that the request was passed on to. */
-	private final Set<String> triedPeers = new HashSet<>();
+	/** Whether a send is open. */
+	private boolean sending;
 
 	/** Whether the request, of another daemon, counts against their number here. */
 	private boolean countedAsTaken;
@@ -107,26 +92,9 @@
 	/** The connection of the current send, or null if no send is open. */
 	private EndpointConnection connection;
 
-	/**
-	 * The path of the current or last send; null for plain services and without a path.
-	 */
-	private LayerPath path;
-
-	/** Number of tokens that are reserved on the path during a send. */
-	private int reservedTokens;
-
-	/** Number of sends so far, including those that endpoints refused. */
-	private int sendCount;
-
-	/** Endpoints that may have run the request; counted against the route's limit. */
-	private final Set<String> endpointsThatMayHaveRun = new HashSet<>();
-
 	/** Whether the write of the current send to an open connection has started. */
 	private boolean writeStarted;
 
-	/** Whether an endpoint may have run the request, so that its outcome is unknown. */
-	private boolean mayHaveRun;
-
 	/** Progress of the current or last send, or null before the first one. */
 	private SendProgress progress;
 
@@ -165,10 +133,7 @@
 		this.callerRequest = callerRequest;
 		this.requestFields = router.headers().readRequest(callerRequest.head());
 		this.responseBuffer = new ResponseBuffer(router.buffers());
-		callerRequest.envelope().ifPresent((envelope) -> {
-			this.mayHaveRun = envelope.mayHaveRun();
-			this.endpointsThatMayHaveRun.addAll(envelope.triedEndpoints());
-		});
+		this.attempts = new SendAttempts(callerRequest.envelope(), router.faults()::hasExitedUnexpectedly);
 	}
 
 	// Tells whether another daemon passed the request on.
@@ -180,8 +145,9 @@
 		return this.requestFields.attemptId();
 	}
 
+	// Returns the path of the current or last send; empty for plain services and daemons.
 	Optional<LayerPath> path() {
-		return Optional.ofNullable(this.path);
+		return Optional.ofNullable(this.target).flatMap(SendTarget::path);
 	}
 
 	/** Admits the request and sends it to an endpoint, or responds with the refusal. */
@@ -201,6 +167,7 @@
 			return;
 		}
 		this.admitted = admission.admitted();
+		this.query = TargetQuery.of(this.admitted, this.requestFields, this.attempts);
 		this.digest = RequestDigest.of(this.callerRequest, this.admitted.account().map(ClientAccount::name).orElse(""));
 		this.traits = RequestTraits.of(this.admitted.service(), this.requestFields.sharedPromptParts(), this.digest);
 		long waitMs = this.admitted.route().timeoutMs();
@@ -232,54 +199,34 @@
 			refuseAsCrashing(crashRefusalMs.getAsLong());
 			return;
 		}
-		if (this.router.isLost(this.admitted.service()) && dispatchElsewhere(now)) {
-			return;
-		}
-		List<Endpoint> heldBack = this.router.heldBackEndpoints(this.admitted, this::mayTake, now);
-		Optional<Endpoint> target = chooseTarget(now);
-		if (target.isEmpty()) {
-			if (this.admitted.engine().isPresent()) {
-				this.router.recordMissingPath(id(), this.admitted, heldBack.size(), now);
-			}
-			refuseOrSuspend("no endpoint can take the request now",
-					(heldBack.isEmpty()) ? "no endpoint" : "no endpoint within its limit",
-					this.router.retryAfterMs(this.admitted, heldBack, this::mayTake, now));
-			return;
-		}
-		sendTo(target.get(), now);
+		TargetChoice choice = this.router.targets().choose(this.query, now);
+		choice.heldBack().forEach((endpoint) -> this.router.endpointLimits().recordHeldBack(endpoint.id()));
+		choice.target().ifPresentOrElse((next) -> send(next, now), () -> onNoTarget(choice, now));
 	}
 
-	// No endpoint of the service can be reached from here; trials show when that ends.
-	// Returns false if one that has started since may be tried instead.
-	private boolean dispatchElsewhere(long now) {
-		Optional<RelayPeer> chosen = choosePeer(now);
-		if (chosen.isPresent()) {
-			passOn(chosen.get(), now);
-			return true;
-		}
-		if (this.router.maySendDirectly(this.admitted.service())) {
-			return false;
+	// Ends or suspends a request that has no target.
+	private void onNoTarget(TargetChoice choice, long now) {
+		if (choice.reachable()) {
+			if (this.query.isForEngine()) {
+				logMissingPath(choice.heldBack().size(), now);
+			}
+			refuseOrSuspend("no endpoint can take the request now",
+					(choice.heldBack().isEmpty()) ? "no endpoint" : "no endpoint within its limit",
+					this.router.retryAfterMs(this.query, choice.heldBack(), now));
 		}
-		if (isOfOtherDaemon() && !this.streamStarted && !hasRunHere()) {
+		else if (isOfOtherDaemon() && !this.streamStarted && !this.attempts.hasRunHere()) {
 			decline("endpoints out of reach");
 		}
 		else {
 			refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach", this.router.capacityRetryMs());
 		}
-		return true;
-	}
-
-	private boolean hasRunHere() {
-		int before = this.callerRequest.envelope().map((envelope) -> envelope.triedEndpoints().size()).orElse(0);
-		return this.endpointsThatMayHaveRun.size() > before;
 	}
 
-	// A request under which an endpoint has ended is not passed on, since it may be the
-	// cause.
-	private Optional<RelayPeer> choosePeer(long now) {
-		boolean endedEndpoint = this.endpointsThatMayHaveRun.stream().anyMatch(this.router::hasEndpointFailed);
-		return (isOfOtherDaemon() || endedEndpoint) ? Optional.empty()
-				: this.router.relays().choose(this.admitted.service(), this.triedPeers, now);
+	private void logMissingPath(int heldBackCount, long now) {
+		List<Endpoint> engines = this.router.targets().usableEngines(this.admitted.service(), now);
+		this.router.log()
+			.recordMissingPath(id(), engines.size(), this.router.targets().missingLayers(this.query, engines),
+					heldBackCount, now);
 	}
 
 	// Tells the daemon that passed the request on that it has not run here.
@@ -291,101 +238,51 @@
 		this.caller.sendResponse(response);
 	}
 
-	private Optional<Endpoint> chooseTarget(long now) {
-		this.path = null;
-		if (this.admitted.engine().isEmpty()) {
-			return this.router.choosePlainEndpoint(this.admitted.service(), this.excludedEndpoints, now);
-		}
-		int tokens = estimateTokens();
-		Optional<LayerPath> found = this.router.findPath(this.admitted, tokens, this::mayBeFirstStage, now);
-		if (found.isEmpty()) {
-			return Optional.empty();
+	private void send(SendTarget next, long now) {
+		this.target = next;
+		this.sending = true;
+		this.writeStarted = false;
+		this.responseHead = null;
+		this.relayingStream = false;
+		this.sentAtNanos = now;
+		this.progress = new SendProgress(now);
+		this.activity.onProgress(now);
+		this.attempts.onSend(next);
+		if (isAtDaemon()) {
+			passOn(next.daemon().get(), now);
 		}
-		this.path = found.get();
-		this.reservedTokens = tokens;
-		return Optional.of(this.path.firstEndpoint());
-	}
-
-	private boolean mayTake(Endpoint candidate) {
-		return (this.admitted.engine().isPresent()) ? mayBeFirstStage(candidate)
-				: !this.excludedEndpoints.contains(candidate.id());
-	}
-
-	// Once the route's limit of attempts is reached, only endpoints that may have run the
-	// request before may run it again.
-	private boolean mayBeFirstStage(Endpoint first) {
-		return !this.excludedEndpoints.contains(first.id())
-				&& (hasAttemptsLeft() || this.endpointsThatMayHaveRun.contains(first.id()));
-	}
-
-	// Endpoints whose process has ended unexpectedly since do not count against the
-	// route's limit.
-	private boolean hasAttemptsLeft() {
-		long counted = this.endpointsThatMayHaveRun.stream().filter((id) -> !this.router.hasEndpointFailed(id)).count();
-		return counted < this.admitted.route().maxAttempts();
-	}
-
-	// Estimates the number of tokens that the stream will hold at its end.
-	private int estimateTokens() {
-		int responseTokens = (this.requestFields.estimatedResponseTokens() > 0)
-				? this.requestFields.estimatedResponseTokens() : this.admitted.engine().get().meanResponseTokens();
-		if (this.requestFields.maxResponseTokens() > 0) {
-			responseTokens = Math.min(responseTokens, this.requestFields.maxResponseTokens());
+		else {
+			sendTo(next.endpoint().get(), now);
 		}
-		int promptTokens = (this.requestFields.promptTokens() > 0) ? this.requestFields.promptTokens()
-				: this.admitted.engine().get().meanPromptTokens();
-		return promptTokens + responseTokens;
 	}
 
-	private void sendTo(Endpoint target, long now) {
-		this.endpoint = target;
-		beginSend(now);
+	private void sendTo(Endpoint endpoint, long now) {
 		HttpHeaders headers = copyRequestHeaders();
 		this.router.headers()
 			.rewriteForEndpoint(headers,
-					new HeaderTranslator.ForwardedRequest(target,
+					new HeaderTranslator.ForwardedRequest(endpoint,
 							this.admitted.account().map((account) -> account.name()), Math.max(1, remainingMs(now)),
-							Optional.ofNullable(this.path), resumeAfter(), this.admitted.priority()));
+							path(), resumeAfter(), this.admitted.priority()));
 		DefaultFullHttpRequest request = createRequest(headers);
-		if (this.path != null) {
-			this.router.log().recordPath(id(), this.path, now);
-			this.router.loads().reserve(this.path, this.reservedTokens);
-			this.router.monitorPath(this.path, now);
-		}
-		else {
-			this.router.plainSelector().recordDispatch(target.id(), now);
-		}
-		this.sentTo.add(target.id());
-		this.router.onSend(target);
+		path().ifPresentOrElse((path) -> {
+			this.router.log().recordPath(id(), path, now);
+			this.router.loads().reserve(path, this.target.tokens());
+			this.router.monitorPath(path, now);
+		}, () -> this.router.plainSelector().recordDispatch(endpoint.id(), now));
+		this.router.onSend(endpoint);
 		this.connection = this.router.pool()
-			.send(ConnectionTarget.of(target), request, id(), !this.admitted.route().mayRunAgain(), this);
+			.send(ConnectionTarget.of(endpoint), request, id(), !this.admitted.route().mayRunAgain(), this);
 	}
 
 	// Passes the request on to another daemon, which decides about it as about one of its
 	// own callers.
-	private void passOn(RelayPeer target, long now) {
-		this.peer = target;
-		this.path = null;
-		this.triedPeers.add(target.name());
-		beginSend(now);
+	private void passOn(RelayPeer daemon, long now) {
 		HttpHeaders headers = copyRequestHeaders();
 		this.router.headers().rewriteForDaemon(headers, Math.max(1, remainingMs(now)), resumeAfter());
-		headers.set(RelayEnvelope.FIELD,
-				RelayEnvelope.of(this.admitted.version(), this.mayHaveRun, this.endpointsThatMayHaveRun).encode());
-		this.sentTo.add("through:" + target.name());
+		headers.set(RelayEnvelope.FIELD, this.attempts.envelope(this.admitted.version()).encode());
 		this.router.log().count(EntryMetrics.Count.RELAYED);
 		this.connection = this.router.relays()
-			.send(target, createRequest(headers), id(), !this.admitted.route().mayRunAgain(), this);
-	}
-
-	private void beginSend(long now) {
-		this.sendCount++;
-		this.writeStarted = false;
-		this.responseHead = null;
-		this.relayingStream = false;
-		this.sentAtNanos = now;
-		this.progress = new SendProgress(now);
-		this.activity.onProgress(now);
+			.send(daemon, createRequest(headers), id(), !this.admitted.route().mayRunAgain(), this);
 	}
 
 	private HttpHeaders copyRequestHeaders() {
@@ -409,27 +306,33 @@
 				this.callerRequest.head().uri(), body, headers, EmptyHttpHeaders.INSTANCE);
 	}
 
-	private boolean isSending() {
-		return this.endpoint != null || this.peer != null;
+	private boolean isAtEndpoint() {
+		return this.sending && this.target.endpoint().isPresent();
+	}
+
+	private boolean isAtDaemon() {
+		return this.sending && this.target.daemon().isPresent();
+	}
+
+	// Returns the endpoint of the current send, which is not to a daemon.
+	private Endpoint endpoint() {
+		return this.target.endpoint().get();
 	}
 
 	// Ends the current send, if there is one, and releases its reservations. The time
 	// that it took is in ms; negative if it does not count as a response time.
 	private void endSend(double tookMs) {
-		if (!isSending()) {
+		if (!this.sending) {
 			return;
 		}
-		if (this.peer != null) {
-			this.router.relays().onEnded(this.peer);
-		}
-		else if (this.path != null) {
-			this.router.loads().release(this.path, this.reservedTokens);
+		if (isAtDaemon()) {
+			this.router.relays().onEnded(this.target.daemon().get());
 		}
 		else {
-			this.router.onPlainEnd(this.endpoint, this.sentAtNanos, tookMs);
+			path().ifPresentOrElse((path) -> this.router.loads().release(path, this.target.tokens()),
+					() -> this.router.onPlainEnd(endpoint(), this.sentAtNanos, tookMs));
 		}
-		this.endpoint = null;
-		this.peer = null;
+		this.sending = false;
 		this.connection = null;
 		this.responseBuffer.clear();
 	}
@@ -444,11 +347,11 @@
 		this.responseHead = head;
 		this.responseFields = fields;
 		this.progress.onHead();
-		if (this.endpoint != null) {
-			this.router.onResponseHead(this.endpoint, fields, this.sentAtNanos, System.nanoTime());
+		if (isAtEndpoint()) {
+			this.router.onResponseHead(endpoint(), fields, this.sentAtNanos, System.nanoTime());
 		}
 		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded()
-				&& (this.peer == null || repliesFor(head, RelayReply.Kind.ENDPOINT));
+				&& (!isAtDaemon() || repliesFor(head, RelayReply.Kind.ENDPOINT));
 		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
 		if (this.relayingStream) {
 			this.activity.onProgress(System.nanoTime());
@@ -487,13 +390,13 @@
 		if (!this.proven && this.progress.isProven(now)) {
 			recordProven(now);
 		}
-		if (this.endpoint != null) {
+		if (isAtEndpoint()) {
 			this.router.onContact(this.admitted.service(), now);
 		}
 		this.activity.onEvents(this.streamStarted, now);
-		if (this.streamStarted && this.path != null
+		if (this.streamStarted
 				&& this.activity.meanEventGapMs() > SilenceLimits.slowEventGapMs(this.admitted.route())) {
-			this.router.probes().probeSlowStream(this.path, now);
+			path().ifPresent((path) -> this.router.probes().probeSlowStream(path, now));
 		}
 	}
 
@@ -572,8 +475,8 @@
 		if (this.progress.hasBegun()) {
 			recordProven(now);
 		}
-		if (this.endpoint != null) {
-			this.router.faults().recordResponse(this.endpoint.id(), false, now);
+		if (isAtEndpoint()) {
+			this.router.faults().recordResponse(endpoint().id(), false, now);
 		}
 		path().ifPresent((used) -> used.stages()
 			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
@@ -585,7 +488,7 @@
 	private void onPlainResponseComplete() {
 		int status = this.responseHead.status().code();
 		long now = System.nanoTime();
-		if (this.peer != null) {
+		if (isAtDaemon()) {
 			onDaemonResponse(now);
 			return;
 		}
@@ -600,17 +503,17 @@
 			return;
 		}
 		boolean failed = status >= 500;
-		if (!failed && this.path == null) {
+		if (!failed && path().isEmpty()) {
 			recordProven(now);
 		}
 		if (failed) {
-			this.router.onEndpointFailed(this.endpoint, now);
+			this.router.onEndpointFailed(endpoint(), now);
 		}
 		else {
-			this.router.faults().recordResponse(this.endpoint.id(), false, now);
+			this.router.faults().recordResponse(endpoint().id(), false, now);
 		}
 		if (failed && this.admitted.route().mayRunAgain() && !this.streamStarted && recordRunAndTakeRetry()) {
-			this.mayHaveRun = true;
+			this.attempts.recordUnknownOutcome();
 			resend("status " + status);
 			return;
 		}
@@ -634,7 +537,7 @@
 	// A response of another daemon is final, unless it has not taken the request.
 	private void onDaemonResponse(long now) {
 		if (repliesFor(this.responseHead, RelayReply.Kind.DECLINED)) {
-			this.router.relays().onNotTaken(this.peer, this.admitted.service(), now);
+			this.router.relays().onNotTaken(this.target.daemon().get(), this.admitted.service(), now);
 			endSend(-1);
 			dispatch();
 			return;
@@ -654,14 +557,14 @@
 	}
 
 	private void onNotExecuted(int status, long now) {
-		String faultyAddress = this.responseFields.faultAddress().orElse(SocketAddresses.text(this.endpoint.address()));
-		boolean causedByOther = this.router.recordEndpointRefusal(this.endpoint, faultyAddress, status, now);
+		String faultyAddress = this.responseFields.faultAddress().orElse(SocketAddresses.text(endpoint().address()));
+		boolean causedByOther = this.router.recordEndpointRefusal(endpoint(), faultyAddress, status, now);
 		// The first endpoint of the path stays usable if another one caused the refusal.
-		String refusingId = this.endpoint.id();
+		String refusingId = endpoint().id();
 		if (!causedByOther) {
-			this.excludedEndpoints.add(refusingId);
+			this.attempts.exclude(refusingId);
 		}
-		if (this.sendCount < maxSends() && this.router.tryTakeRetry(this.admitted.service(), now)) {
+		if (this.attempts.hasSendsLeft(this.streamStarted) && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			endSend(-1);
 			dispatch();
 			return;
@@ -674,25 +577,22 @@
 	// Records that the current endpoint may have run the request. Returns whether it may
 	// run once more, and if so takes a retry from the budget.
 	private boolean recordRunAndTakeRetry() {
-		this.endpointsThatMayHaveRun.add(this.endpoint.id());
-		return (hasAttemptsLeft() || this.streamStarted) && this.sendCount < maxSends()
+		this.attempts.recordRun(this.target);
+		return (this.attempts.hasRunsLeft(this.admitted.route()) || this.streamStarted)
+				&& this.attempts.hasSendsLeft(this.streamStarted)
 				&& this.router.tryTakeRetry(this.admitted.service(), System.nanoTime());
 	}
 
-	private int maxSends() {
-		return (this.streamStarted) ? MAX_STREAM_SENDS : MAX_SENDS;
-	}
-
 	// Ends the current send, excludes its endpoint and dispatches the request again.
 	private void resend(String reason) {
-		this.excludedEndpoints.add(this.endpoint.id());
+		this.attempts.exclude(endpoint().id());
 		dispatchAgain(reason);
 	}
 
 	// Ends the current send and dispatches the request again, to any endpoint that is not
 	// excluded.
 	private void dispatchAgain(String reason) {
-		this.router.log().recordMove(id(), this.endpoint.id(), reason);
+		this.router.log().recordMove(id(), endpoint().id(), reason);
 		endSend(-1);
 		dispatch();
 	}
@@ -703,17 +603,17 @@
 			return;
 		}
 		long now = System.nanoTime();
-		if (this.peer != null) {
+		if (isAtDaemon()) {
 			onRelayFailed(cause, now);
 			return;
 		}
-		String endpointId = this.endpoint.id();
+		String endpointId = endpoint().id();
 		this.router.log()
-			.recordBrokenSend(id(), this.endpoint, cause, this.progress.describe(now),
+			.recordBrokenSend(id(), endpoint(), cause, this.progress.describe(now),
 					this.requestFields.sharedPromptParts(), this.digest);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
-			if (this.sendCount < MAX_SENDS) {
+			if (this.attempts.hasSendsLeft(false)) {
 				resend("no connection");
 				return;
 			}
@@ -722,19 +622,19 @@
 			return;
 		}
 		if (cause.isCausedByTarget()) {
-			this.router.onEndpointFailed(this.endpoint, now);
+			this.router.onEndpointFailed(endpoint(), now);
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
-			this.excludedEndpoints.add(endpointId);
+			this.attempts.exclude(endpointId);
 		}
-		this.mayHaveRun = true;
+		this.attempts.recordUnknownOutcome();
 		this.framer.dropPartialEvent();
 		if (cause == SendFailureCause.CLOSED && !this.proven && !this.progress.isProven(now)) {
-			if (this.path == null) {
-				this.router.checkWhetherEnded(this.endpoint);
+			if (path().isEmpty()) {
+				this.router.checkWhetherEnded(endpoint());
 			}
-			this.router.crashBlame()
-				.onSendBroken(this.endpoint.processId(), new SuspectRequest(id(), this.traits), now);
-			if (hasEndedAnotherEndpoint() || !this.router.crashBlame().mayRepeat(this.traits, now)) {
+			this.router.crashBlame().onSendBroken(endpoint().processId(), new SuspectRequest(id(), this.traits), now);
+			if (this.attempts.hasEndedEndpointBesides(endpointId)
+					|| !this.router.crashBlame().mayRepeat(this.traits, now)) {
 				endSend(-1);
 				failRequest("endpoint " + endpointId + " ended, as did others before");
 				return;
@@ -745,7 +645,8 @@
 			return;
 		}
 		endSend(-1);
-		if (this.streamStarted && this.admitted.route().mayRunAgain() && this.sendCount < maxSends()) {
+		if (this.streamStarted && this.admitted.route().mayRunAgain()
+				&& this.attempts.hasSendsLeft(this.streamStarted)) {
 			suspend();
 			return;
 		}
@@ -755,18 +656,19 @@
 	// The connection to another daemon failed. An endpoint may have run the request if
 	// that daemon had it.
 	private void onRelayFailed(SendFailureCause cause, long now) {
-		String name = this.peer.name();
-		this.router.relays().onNotTaken(this.peer, this.admitted.service(), now);
+		String name = this.target.daemon().get().name();
+		this.router.relays().onNotTaken(this.target.daemon().get(), this.admitted.service(), now);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			endSend(-1);
 			dispatch();
 			return;
 		}
-		this.mayHaveRun = true;
+		this.attempts.recordUnknownOutcome();
 		this.framer.dropPartialEvent();
-		this.endpointsThatMayHaveRun.add("through:" + name);
-		boolean mayRunAgain = this.admitted.route().mayRunAgain() && (hasAttemptsLeft() || this.streamStarted)
-				&& this.sendCount < maxSends();
+		this.attempts.recordRun(this.target);
+		boolean mayRunAgain = this.admitted.route().mayRunAgain()
+				&& (this.attempts.hasRunsLeft(this.admitted.route()) || this.streamStarted)
+				&& this.attempts.hasSendsLeft(this.streamStarted);
 		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.router.log().recordMove(id(), name, cause.name());
 			endSend(-1);
@@ -784,7 +686,7 @@
 	// No endpoint of the service can be reached. Passes the request on if it has not been
 	// written to one.
 	void onServiceLost(String service) {
-		boolean unsent = this.endpoint != null && this.connection != null && !this.writeStarted;
+		boolean unsent = isAtEndpoint() && this.connection != null && !this.writeStarted;
 		if (!this.finished && unsent && this.admitted.service().equals(service)) {
 			this.connection.abort();
 			endSend(-1);
@@ -792,13 +694,6 @@
 		}
 	}
 
-	// Tells whether an endpoint that may have run the request before the current one has
-	// ended since.
-	private boolean hasEndedAnotherEndpoint() {
-		return this.endpointsThatMayHaveRun.stream()
-			.anyMatch((id) -> !id.equals(this.endpoint.id()) && this.router.hasEndpointFailed(id));
-	}
-
 	// Ends the current send because a stage of its path stopped, but only if another
 	// endpoint or path can take the request: a silent endpoint may still continue its
 	// response.
@@ -807,42 +702,25 @@
 			return;
 		}
 		long now = System.nanoTime();
-		boolean maySendAgain = this.sendCount < maxSends() && this.router.hasRetryLeft(this.admitted.service(), now);
-		if (maySendAgain && hasAlternative(cause, now)) {
+		boolean maySendAgain = this.attempts.hasSendsLeft(this.streamStarted)
+				&& this.router.hasRetryLeft(this.admitted.service(), now);
+		if (!maySendAgain) {
+			return;
+		}
+		if (isAtEndpoint()) {
+			this.attempts.recordRun(this.target);
+		}
+		if (this.router.targets().hasAlternative(this.query, this.target, cause, now)) {
 			this.connection.abort();
 			onSendFailed(cause);
 		}
 	}
 
-	// Tells whether another endpoint or path can take the request. Records that the
-	// current endpoint may have run it.
-	private boolean hasAlternative(SendFailureCause cause, long now) {
-		if (this.peer != null) {
-			return choosePeer(now).isPresent();
-		}
-		String current = this.endpoint.id();
-		this.endpointsThatMayHaveRun.add(current);
-		if (!this.router.maySendDirectly(this.admitted.service())) {
-			return choosePeer(now).isPresent();
-		}
-		if (this.path == null) {
-			Set<String> used = new HashSet<>(this.excludedEndpoints);
-			used.add(current);
-			return hasAttemptsLeft() && this.router.choosePlainEndpoint(this.admitted.service(), used, now).isPresent();
-		}
-		return this.router
-			.findPath(this.admitted, this.reservedTokens,
-					(first) -> !(cause.isCausedByTarget() && first.id().equals(current)) && mayBeFirstStage(first), now)
-			.filter((other) -> !other.hasSameStages(this.path))
-			.isPresent();
-	}
-
 	// Suspends a stream that has started until a path over all layers has capacity again.
 	private void suspend() {
 		this.suspended = true;
 		this.lastResumeAttemptNanos = System.nanoTime();
-		this.excludedEndpoints.clear();
-		this.triedPeers.clear();
+		this.attempts.readmitAll();
 	}
 
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
@@ -856,19 +734,10 @@
 		if (!this.router.mayStillSend(this.admitted)) {
 			return;
 		}
-		Optional<RelayPeer> other = choosePeer(now);
-		if (other.isPresent()) {
-			if (this.router.tryTakeRetry(this.admitted.service(), now)) {
-				this.suspended = false;
-				passOn(other.get(), now);
-			}
-			return;
-		}
-		Optional<Endpoint> target = (this.router.maySendDirectly(this.admitted.service())) ? chooseTarget(now)
-				: Optional.empty();
-		if (target.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
+		Optional<SendTarget> next = this.router.targets().choose(this.query, now).target();
+		if (next.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
-			sendTo(target.get(), now);
+			send(next.get(), now);
 		}
 	}
 
@@ -878,7 +747,7 @@
 		if (this.streamStarted) {
 			suspend();
 		}
-		else if (this.mayHaveRun) {
+		else if (this.attempts.isOutcomeUnknown()) {
 			failRequest(reason);
 		}
 		else {
@@ -890,7 +759,7 @@
 	// Ends a request that would crash the next endpoint, too.
 	private void refuseAsCrashing(long retryAfterMs) {
 		String reason = "requests like it crash endpoints";
-		if (this.streamStarted || this.mayHaveRun) {
+		if (this.streamStarted || this.attempts.isOutcomeUnknown()) {
 			failRequest(reason);
 			return;
 		}
@@ -903,11 +772,11 @@
 			breakOffStream(reason);
 			return;
 		}
-		HttpResponseStatus status = (this.mayHaveRun) ? HttpResponseStatus.BAD_GATEWAY
+		HttpResponseStatus status = (this.attempts.isOutcomeUnknown()) ? HttpResponseStatus.BAD_GATEWAY
 				: HttpResponseStatus.SERVICE_UNAVAILABLE;
-		long retryAfterMs = (this.mayHaveRun) ? -1 : this.router.capacityRetryMs();
+		long retryAfterMs = (this.attempts.isOutcomeUnknown()) ? -1 : this.router.capacityRetryMs();
 		respond(OwnResponses.create(status, "the endpoint failed", retryAfterMs),
-				(this.mayHaveRun) ? Outcome.FAILED : Outcome.REFUSED, reason);
+				(this.attempts.isOutcomeUnknown()) ? Outcome.FAILED : Outcome.REFUSED, reason);
 	}
 
 	private void breakOffStream(String reason) {
@@ -918,7 +787,9 @@
 
 	private void timeOut(String reason) {
 		if (this.connection != null) {
-			this.mayHaveRun |= this.writeStarted;
+			if (this.writeStarted) {
+				this.attempts.recordUnknownOutcome();
+			}
 			this.connection.abort();
 		}
 		endSend(-1);
@@ -965,7 +836,7 @@
 	// Checks the deadline, resumes a suspended stream, and acts on silent endpoints.
 	// Called periodically.
 	void checkTimeouts(long nowNanos) {
-		if (this.finished || (!isSending() && !this.suspended)) {
+		if (this.finished || (!this.sending && !this.suspended)) {
 			return;
 		}
 		if (remainingMs(nowNanos) <= 0) {
@@ -981,22 +852,21 @@
 		}
 		long silenceMs = this.activity.silenceMs(nowNanos);
 		Route route = this.admitted.route();
-		if (this.peer != null) {
+		if (isAtDaemon()) {
 			if (silenceMs >= DAEMON_SILENCE_MS) {
 				abandonSend(SendFailureCause.SILENT);
 			}
 			return;
 		}
 		this.router.checkProgress(this.admitted.service(), silenceMs, !this.writeStarted, nowNanos);
-		if (this.finished || this.endpoint == null) {
+		if (this.finished || !isAtEndpoint()) {
 			return;
 		}
-		if (this.path != null) {
+		if (path().isPresent()) {
 			probeSilentStream(nowNanos, silenceMs, route);
 		}
 		else if (route.mayRunAgain() && this.writeStarted && this.responseHead == null
-				&& silenceMs >= SilenceLimits.plainMs(route)
-				&& this.endpointsThatMayHaveRun.size() + 1 < route.maxAttempts()) {
+				&& silenceMs >= SilenceLimits.plainMs(route) && this.attempts.runCount() + 1 < route.maxAttempts()) {
 			abandonSend(SendFailureCause.SILENT);
 		}
 	}
@@ -1011,7 +881,7 @@
 		}
 		this.activity.onProbeStarted(nowNanos);
 		EndpointConnection probedConnection = this.connection;
-		this.router.probes().probeSilentStream(this, this.endpoint, (result) -> {
+		this.router.probes().probeSilentStream(this, endpoint(), (result) -> {
 			this.activity.onProbeEnded();
 			if (!this.finished && probedConnection == this.connection) {
 				result.failureCause().ifPresent(this::abandonSend);
@@ -1024,8 +894,7 @@
 	}
 
 	String describeSends() {
-		return "ms=" + ageMs() + " sends=" + this.sendCount + " endpoints=" + this.sentTo + " on_connection="
-				+ this.caller.requestCount();
+		return "ms=" + ageMs() + " " + this.attempts.describe() + " on_connection=" + this.caller.requestCount();
 	}
 
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -1,14 +1,12 @@
 package org.comfreyslip.entry.http;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -28,7 +26,6 @@
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.layers.LayerPath;
-import org.comfreyslip.entry.layers.PathFinder;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.RequestLimits;
@@ -109,6 +106,8 @@
 
 	private final LeastWaitSelector plainSelector;
 
+	private final TargetSelector targets;
+
 	private final RetryBudget retryBudget;
 
 	private final EntryMetrics metrics = new EntryMetrics();
@@ -169,6 +168,8 @@
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
 		this.plainLoads = new PlainLoads(System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
+		this.targets = new TargetSelector(settings.dataCentre(), directory, this.faults, this.endpointLimits,
+				this.loads, this.slowdowns, this.plainSelector, this.reachMonitor.reach(), this.relays, random);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -288,6 +289,10 @@
 		return this.log;
 	}
 
+	TargetSelector targets() {
+		return this.targets;
+	}
+
 	StreamProbes probes() {
 		return this.probes;
 	}
@@ -342,18 +347,10 @@
 		return !lost && failedAt.isPresent() && reach.isProvenSince(failedAt.getAsLong());
 	}
 
-	boolean isLost(String service) {
+	private boolean isLost(String service) {
 		return this.reachMonitor.reach().isLost(service);
 	}
 
-	// Tells whether a request may be sent to an endpoint of a service: to any as long as
-	// the service is not lost, else only if one has started since.
-	boolean maySendDirectly(String service) {
-		EndpointReach reach = this.reachMonitor.reach();
-		return !reach.isLost(service) || reach.hasUntried(service,
-				this.directory.usableEndpoints(service).stream().map(Endpoint::id).toList());
-	}
-
 	long configurationVersion() {
 		return configuration().map(Configuration::version).orElse(-1L);
 	}
@@ -493,10 +490,7 @@
 		for (ServiceSpec service : this.configuration.services().values()) {
 			boolean passedOn = isLost(service.name()) && this.relays.canPassOn(service.name(), System.nanoTime());
 			if (service.engine().isPresent() && !passedOn) {
-				boolean hasPath = new PathFinder(service.engine().get(), new LayerLoads(this.random), this.slowdowns)
-					.find(usableEngines(service.name(), System.nanoTime()), this.settings.dataCentre(), 1,
-							(first) -> true, System.nanoTime())
-					.isPresent();
+				boolean hasPath = this.targets.hasPath(service.name(), service.engine().get(), System.nanoTime());
 				if (!hasPath) {
 					return Optional.of("no path of " + service.name());
 				}
@@ -529,71 +523,13 @@
 		return admitted.account().isEmpty() || areKeysFresh();
 	}
 
-	Optional<Endpoint> choosePlainEndpoint(String service, Collection<String> excluded, long nowNanos) {
-		List<Endpoint> candidates = this.directory.usableEndpoints(service)
-			.stream()
-			.filter((endpoint) -> this.endpointLimits.maySend(endpoint, nowNanos))
-			.toList();
-		return this.plainSelector.choose(candidates, excluded, this.settings.dataCentre(), nowNanos);
-	}
-
-	Optional<LayerPath> findPath(RequestAdmission.AdmittedRequest admitted, int tokens,
-			Predicate<Endpoint> allowedFirst, long nowNanos) {
-		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
-		return finder.find(usableEngines(admitted.service(), nowNanos), this.settings.dataCentre(), tokens,
-				allowedFirst.and((first) -> this.endpointLimits.maySend(first, nowNanos)), nowNanos);
-	}
-
-	// Returns the endpoints whose limits keep a request from being sent to them now.
-	List<Endpoint> heldBackEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
-			long nowNanos) {
-		if (!this.endpointLimits.isAnyInForce()) {
-			return List.of();
-		}
-		List<Endpoint> heldBack = new ArrayList<>(receivingEndpoints(admitted, allowed, nowNanos));
-		heldBack.removeIf((endpoint) -> this.endpointLimits.maySend(endpoint, nowNanos));
-		heldBack.forEach((endpoint) -> this.endpointLimits.recordHeldBack(endpoint.id()));
-		return heldBack;
-	}
-
-	// Returns the endpoints that a request may be sent to, apart from limits and loads:
-	// for streams those that hold the first layer.
-	private List<Endpoint> receivingEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
-			long nowNanos) {
-		List<Endpoint> usable = (admitted.engine().isEmpty()) ? this.directory.usableEndpoints(admitted.service())
-				: usableEngines(admitted.service(), nowNanos);
-		return usable.stream()
-			.filter(allowed.and((one) -> one.layers().isEmpty() || one.layers().get().contains(0)))
-			.toList();
-	}
-
 	// Returns after what time a caller may retry a request that no endpoint takes now.
-	long retryAfterMs(RequestAdmission.AdmittedRequest admitted, List<Endpoint> heldBack, Predicate<Endpoint> allowed,
-			long nowNanos) {
+	long retryAfterMs(TargetQuery query, List<Endpoint> heldBack, long nowNanos) {
 		boolean limited = !heldBack.isEmpty()
-				&& heldBack.size() == receivingEndpoints(admitted, allowed, nowNanos).size();
+				&& heldBack.size() == this.targets.receivingEndpoints(query, nowNanos).size();
 		return (limited) ? this.endpointLimits.retryAfterMs(heldBack, this.random, nowNanos) : capacityRetryMs();
 	}
 
-	// Logs why no path was found: layers that no usable engine holds, or else a lack of
-	// capacity.
-	void recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
-			long nowNanos) {
-		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
-		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
-		this.log.recordMissingPath(requestId, engines.size(), finder.missingLayers(engines), heldBackCount, nowNanos);
-	}
-
-	private List<Endpoint> usableEngines(String service, long nowNanos) {
-		List<Endpoint> usable = new ArrayList<>();
-		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
-			if (endpoint.layers().isPresent() && !this.faults.isAvoided(endpoint.id(), nowNanos)) {
-				usable.add(endpoint);
-			}
-		}
-		return usable;
-	}
-
 	// The endpoint's process has ended, or the way to it is cut.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
 		this.faults.recordConnectionRefused(endpoint.id(), true, nowNanos);
@@ -618,12 +554,6 @@
 		}
 	}
 
-	// Tells whether an endpoint's process ended unexpectedly. Endpoints that left as
-	// planned still count against the limits of routes, whether or not they have exited.
-	boolean hasEndpointFailed(String id) {
-		return this.faults.hasExitedUnexpectedly(id);
-	}
-
 	// Finds out whether an endpoint of a plain service, which is not monitored, has
 	// ended.
 	void checkWhetherEnded(Endpoint endpoint) {
