Move the causes and Retry-After times of refusals into Refusals

Exchange held the texts and Router the times of refusals, and a stream was suspended or broken off by which of two methods was called. RefusalCause now states the texts and whether a stream may go on later, and Refusals decides the cause and the time. No change of behaviour: the same responses, log texts and random draws.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -190,13 +189,9 @@
 			timeOut("no time left");
 			return;
 		}
-		if (!this.router.mayStillSend(this.admitted)) {
-			refuseOrSuspend("the key's validity cannot be confirmed now", "stale configuration", Router.STALE_RETRY_MS);
-			return;
-		}
-		OptionalLong crashRefusalMs = this.router.crashRefusalMs(this.traits, now);
-		if (crashRefusalMs.isPresent()) {
-			refuseAsCrashing(crashRefusalMs.getAsLong());
+		Optional<Refusal> obstacle = findObstacle(now);
+		if (obstacle.isPresent()) {
+			refuse(obstacle.get());
 			return;
 		}
 		TargetChoice choice = this.router.targets().choose(this.query, now);
@@ -204,22 +199,24 @@
 		choice.target().ifPresentOrElse((next) -> send(next, now), () -> onNoTarget(choice, now));
 	}
 
-	// Ends or suspends a request that has no target.
-	private void onNoTarget(TargetChoice choice, long now) {
-		if (choice.reachable()) {
-			if (this.query.isForEngine()) {
-				logMissingPath(choice.heldBack().size(), now);
-			}
-			refuseOrSuspend("no endpoint can take the request now",
-					(choice.heldBack().isEmpty()) ? "no endpoint" : "no endpoint within its limit",
-					this.router.retryAfterMs(this.query, choice.heldBack(), now));
+	private Optional<Refusal> findObstacle(long now) {
+		if (!this.router.mayStillSend(this.admitted)) {
+			return Optional.of(this.router.refusals().ofStaleKeys());
 		}
-		else if (isOfOtherDaemon() && !this.streamStarted && !this.attempts.hasRunHere()) {
-			decline("endpoints out of reach");
+		return this.router.refusals().ofCrashing(this.traits, now);
+	}
+
+	// Ends or suspends a request that has no target. A request of another daemon that has
+	// not run here is given back to it.
+	private void onNoTarget(TargetChoice choice, long now) {
+		if (choice.reachable() && this.query.isForEngine()) {
+			logMissingPath(choice.heldBack().size(), now);
 		}
-		else {
-			refuseOrSuspend("no endpoint can be reached now", "endpoints out of reach", this.router.capacityRetryMs());
+		if (!choice.reachable() && isOfOtherDaemon() && !this.streamStarted && !this.attempts.hasRunHere()) {
+			decline(RefusalCause.OUT_OF_REACH.reason());
+			return;
 		}
+		refuse(this.router.refusals().ofNoTarget(this.query, choice, now));
 	}
 
 	private void logMissingPath(int heldBackCount, long now) {
@@ -570,8 +567,7 @@
 			return;
 		}
 		endSend(-1);
-		refuseOrSuspend("the endpoint cannot take the request now", "endpoint refused with " + status,
-				this.router.capacityRetryMs());
+		refuse(this.router.refusals().ofEndpointRefusal(status));
 	}
 
 	// Records that the current endpoint may have run the request. Returns whether it may
@@ -726,9 +722,9 @@
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
 	private void tryResume(long now) {
 		this.lastResumeAttemptNanos = now;
-		OptionalLong crashRefusalMs = this.router.crashRefusalMs(this.traits, now);
-		if (crashRefusalMs.isPresent()) {
-			refuseAsCrashing(crashRefusalMs.getAsLong());
+		Optional<Refusal> crashing = this.router.refusals().ofCrashing(this.traits, now);
+		if (crashing.isPresent()) {
+			refuse(crashing.get());
 			return;
 		}
 		if (!this.router.mayStillSend(this.admitted)) {
@@ -741,30 +737,18 @@
 		}
 	}
 
-	// Ends a request that no endpoint can take now: refuses it, fails it if it may have
-	// run, or suspends it if its stream has started.
-	private void refuseOrSuspend(String message, String reason, long retryAfterMs) {
-		if (this.streamStarted) {
+	// Ends a request that is not sent now: refuses it, fails it if it may have run, or
+	// suspends it if its stream has started and may go on later.
+	private void refuse(Refusal refusal) {
+		if (this.streamStarted && refusal.cause().isTemporary()) {
 			suspend();
 		}
-		else if (this.attempts.isOutcomeUnknown()) {
-			failRequest(reason);
+		else if (this.streamStarted || this.attempts.isOutcomeUnknown()) {
+			failRequest(refusal.reason());
 		}
 		else {
-			respond(OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE, message, retryAfterMs), Outcome.REFUSED,
-					reason);
-		}
-	}
-
-	// Ends a request that would crash the next endpoint, too.
-	private void refuseAsCrashing(long retryAfterMs) {
-		String reason = "requests like it crash endpoints";
-		if (this.streamStarted || this.attempts.isOutcomeUnknown()) {
-			failRequest(reason);
-			return;
+			respond(refusal.response(), Outcome.REFUSED, refusal.reason());
 		}
-		respond(OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE,
-				"requests like this one crash the endpoints", retryAfterMs), Outcome.REFUSED, reason);
 	}
 
 	private void failRequest(String reason) {
@@ -774,7 +758,7 @@
 		}
 		HttpResponseStatus status = (this.attempts.isOutcomeUnknown()) ? HttpResponseStatus.BAD_GATEWAY
 				: HttpResponseStatus.SERVICE_UNAVAILABLE;
-		long retryAfterMs = (this.attempts.isOutcomeUnknown()) ? -1 : this.router.capacityRetryMs();
+		long retryAfterMs = (this.attempts.isOutcomeUnknown()) ? -1 : this.router.refusals().capacityRetryMs();
 		respond(OwnResponses.create(status, "the endpoint failed", retryAfterMs),
 				(this.attempts.isOutcomeUnknown()) ? Outcome.FAILED : Outcome.REFUSED, reason);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestAdmission.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestAdmission.java
@@ -53,7 +53,7 @@
 		Optional<Route> found = routeTable.find(request.host(), request.head().uri());
 		if (found.isEmpty()) {
 			return (certain) ? Admission.refuse(HttpResponseStatus.NOT_FOUND, "no such route", -1) : Admission
-				.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such route known yet", Router.STALE_RETRY_MS);
+				.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such route known yet", Refusals.STALE_RETRY_MS);
 		}
 		Route route = found.get();
 		Optional<ClientAccount> account = Optional.empty();
@@ -63,7 +63,7 @@
 				return (certain || fields.apiKey().isEmpty())
 						? Admission.refuse(HttpResponseStatus.UNAUTHORIZED, "the API key is not valid", -1)
 						: Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the API key is not known yet",
-								Router.STALE_RETRY_MS);
+								Refusals.STALE_RETRY_MS);
 			}
 		}
 		ServiceSpec service = configuration.services().get(chooseService(route));
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -42,18 +42,6 @@
  */
 public final class Router implements ReachMonitor.Listener, OwnReach {
 
-	/**
-	 * Time after which a caller may retry when the API keys are stale, in ms: about the
-	 * time of one read that confirms them.
-	 */
-	static final long STALE_RETRY_MS = 400;
-
-	/**
-	 * Least time after which a caller may retry when capacity is missing, in ms: a
-	 * fraction of the duration of a stream.
-	 */
-	private static final long CAPACITY_RETRY_MS = 500;
-
 	/**
 	 * Number of daemons that share the retry budget until it is known; larger than
 	 * today's deployments.
@@ -108,6 +96,8 @@
 
 	private final TargetSelector targets;
 
+	private final Refusals refusals;
+
 	private final RetryBudget retryBudget;
 
 	private final EntryMetrics metrics = new EntryMetrics();
@@ -116,8 +106,6 @@
 
 	private final StreamProbes probes;
 
-	private final RandomGenerator random;
-
 	private final BufferLimits buffers = new BufferLimits();
 
 	private final Set<CallerConnection> callers = new HashSet<>();
@@ -154,7 +142,6 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.configurationFeed = configurationFeed;
-		this.random = random;
 		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
 		this.log = new RequestLog(this.metrics, this.loads);
@@ -170,6 +157,7 @@
 		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
 		this.targets = new TargetSelector(settings.dataCentre(), directory, this.faults, this.endpointLimits,
 				this.loads, this.slowdowns, this.plainSelector, this.reachMonitor.reach(), this.relays, random);
+		this.refusals = new Refusals(this.targets, this.endpointLimits, this.crashBlame, this.log, random);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -293,6 +281,10 @@
 		return this.targets;
 	}
 
+	Refusals refusals() {
+		return this.refusals;
+	}
+
 	StreamProbes probes() {
 		return this.probes;
 	}
@@ -523,13 +515,6 @@
 		return admitted.account().isEmpty() || areKeysFresh();
 	}
 
-	// Returns after what time a caller may retry a request that no endpoint takes now.
-	long retryAfterMs(TargetQuery query, List<Endpoint> heldBack, long nowNanos) {
-		boolean limited = !heldBack.isEmpty()
-				&& heldBack.size() == this.targets.receivingEndpoints(query, nowNanos).size();
-		return (limited) ? this.endpointLimits.retryAfterMs(heldBack, this.random, nowNanos) : capacityRetryMs();
-	}
-
 	// The endpoint's process has ended, or the way to it is cut.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
 		this.faults.recordConnectionRefused(endpoint.id(), true, nowNanos);
@@ -564,11 +549,6 @@
 		path.stages().forEach((stage) -> this.monitor.monitor(stage.endpoint(), nowNanos));
 	}
 
-	// Returns a random time between CAPACITY_RETRY_MS and twice as long.
-	long capacityRetryMs() {
-		return CAPACITY_RETRY_MS + (long) (this.random.nextDouble() * CAPACITY_RETRY_MS);
-	}
-
 	boolean hasRetryLeft(String service, long nowNanos) {
 		return this.retryBudget.hasRetryLeft(service, nowNanos);
 	}
@@ -601,16 +581,6 @@
 				nowNanos);
 	}
 
-	// Returns after what time a request like this may be let through again, if such
-	// requests crash the endpoints that begin to answer them.
-	OptionalLong crashRefusalMs(Set<String> traits, long nowNanos) {
-		OptionalLong refusalMs = this.crashBlame.refusalMs(traits, nowNanos);
-		if (refusalMs.isPresent()) {
-			this.metrics.increment(EntryMetrics.Count.REFUSED_AS_CRASHING);
-		}
-		return refusalMs;
-	}
-
 	// Records the end of a send to a plain endpoint; the time is negative if there was no
 	// response, or one that reports a failure.
 	void onPlainEnd(Endpoint endpoint, long sentAtNanos, double tookMs) {
