Move the start and the end of sends into Sender

Sender now starts and ends a send with all that goes with it, and OutgoingRequest writes the request. No change of behaviour: the same steps in the same order.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -24,7 +23,6 @@
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
 import org.comfreyslip.entry.model.SocketAddresses;
-import org.comfreyslip.entry.reach.RelayPeer;
 import org.comfreyslip.entry.stream.EventFramer;
 
 /**
@@ -245,62 +243,10 @@
 		this.progress = new SendProgress(now);
 		this.activity.onProgress(now);
 		this.attempts.onSend(next);
-		if (isAtDaemon()) {
-			passOn(next.daemon().get(), now);
-		}
-		else {
-			sendTo(next.endpoint().get(), now);
-		}
-	}
-
-	private void sendTo(Endpoint endpoint, long now) {
-		HttpHeaders headers = copyRequestHeaders();
-		this.router.headers()
-			.rewriteForEndpoint(headers,
-					new HeaderTranslator.ForwardedRequest(endpoint,
-							this.admitted.account().map((account) -> account.name()), Math.max(1, remainingMs(now)),
-							path(), resumeAfter(), this.admitted.priority()));
-		DefaultFullHttpRequest request = createRequest(headers);
-		path().ifPresentOrElse((path) -> {
-			this.router.log().recordPath(id(), path, now);
-			this.router.loads().reserve(path, this.target.tokens());
-			this.router.monitorPath(path, now);
-		}, () -> this.router.plainSelector().recordDispatch(endpoint.id(), now));
-		this.router.onSend(endpoint);
-		this.connection = this.router.pool()
-			.send(ConnectionTarget.of(endpoint), request, id(), !this.admitted.route().mayRunAgain(), this);
-	}
-
-	// Passes the request on to another daemon, which decides about it as about one of its
-	// own callers.
-	private void passOn(RelayPeer daemon, long now) {
-		HttpHeaders headers = copyRequestHeaders();
-		this.router.headers().rewriteForDaemon(headers, Math.max(1, remainingMs(now)), resumeAfter());
-		headers.set(RelayEnvelope.FIELD, this.attempts.envelope(this.admitted.version()).encode());
-		this.router.log().count(EntryMetrics.Count.RELAYED);
-		this.connection = this.router.relays()
-			.send(daemon, createRequest(headers), id(), !this.admitted.route().mayRunAgain(), this);
-	}
-
-	private HttpHeaders copyRequestHeaders() {
-		return DefaultHttpHeadersFactory.headersFactory()
-			.withValidation(false)
-			.newHeaders()
-			.add(this.callerRequest.head().headers());
-	}
-
-	private Optional<Long> resumeAfter() {
-		return this.framer.lastEventId().or(this.requestFields::lastEventId);
-	}
-
-	private DefaultFullHttpRequest createRequest(HttpHeaders headers) {
-		ByteBuf body = this.callerRequest.body().retainedDuplicate();
-		if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-				|| this.callerRequest.head().headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-		}
-		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.callerRequest.head().method(),
-				this.callerRequest.head().uri(), body, headers, EmptyHttpHeaders.INSTANCE);
+		Optional<Long> resumeAfter = this.framer.lastEventId().or(this.requestFields::lastEventId);
+		OutgoingRequest request = new OutgoingRequest(this.callerRequest, id(), this.admitted,
+				Math.max(1, remainingMs(now)), resumeAfter, this.attempts.envelope(this.admitted.version()));
+		this.connection = this.router.sender().start(next, request, this, now);
 	}
 
 	private boolean isAtEndpoint() {
@@ -322,13 +268,7 @@
 		if (!this.sending) {
 			return;
 		}
-		if (isAtDaemon()) {
-			this.router.relays().onEnded(this.target.daemon().get());
-		}
-		else {
-			path().ifPresentOrElse((path) -> this.router.loads().release(path, this.target.tokens()),
-					() -> this.router.onPlainEnd(endpoint(), this.sentAtNanos, tookMs));
-		}
+		this.router.sender().end(this.target, this.sentAtNanos, tookMs);
 		this.sending = false;
 		this.connection = null;
 		this.responseBuffer.clear();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -25,7 +25,6 @@
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
-import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.RequestLimits;
@@ -98,6 +97,8 @@
 
 	private final Refusals refusals;
 
+	private final Sender sender;
+
 	private final RetryBudget retryBudget;
 
 	private final EntryMetrics metrics = new EntryMetrics();
@@ -158,6 +159,8 @@
 		this.targets = new TargetSelector(settings.dataCentre(), directory, this.faults, this.endpointLimits,
 				this.loads, this.slowdowns, this.plainSelector, this.reachMonitor.reach(), this.relays, random);
 		this.refusals = new Refusals(this.targets, this.endpointLimits, this.crashBlame, this.log, random);
+		this.sender = new Sender(headers, this.pool, this.relays, this.loads, this.plainSelector, this.endpointLimits,
+				this.monitor, this.log);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -265,12 +268,8 @@
 		return this.headers;
 	}
 
-	EndpointPool pool() {
-		return this.pool;
-	}
-
-	LeastWaitSelector plainSelector() {
-		return this.plainSelector;
+	Sender sender() {
+		return this.sender;
 	}
 
 	RequestLog log() {
@@ -545,10 +544,6 @@
 		this.monitor.checkOnce(endpoint);
 	}
 
-	void monitorPath(LayerPath path, long nowNanos) {
-		path.stages().forEach((stage) -> this.monitor.monitor(stage.endpoint(), nowNanos));
-	}
-
 	boolean hasRetryLeft(String service, long nowNanos) {
 		return this.retryBudget.hasRetryLeft(service, nowNanos);
 	}
@@ -572,24 +567,11 @@
 				configurationVersion());
 	}
 
-	void onSend(Endpoint endpoint) {
-		this.endpointLimits.recordSend(endpoint.id(), System.nanoTime());
-	}
-
 	void onResponseHead(Endpoint endpoint, HeaderTranslator.ResponseFields fields, long sentAtNanos, long nowNanos) {
 		this.endpointLimits.onResponse(endpoint.id(), fields.requestsPerSecond(), fields.signed(), sentAtNanos,
 				nowNanos);
 	}
 
-	// Records the end of a send to a plain endpoint; the time is negative if there was no
-	// response, or one that reports a failure.
-	void onPlainEnd(Endpoint endpoint, long sentAtNanos, double tookMs) {
-		this.plainSelector.recordCompletion(endpoint.id(), sentAtNanos, tookMs, System.nanoTime());
-		if (tookMs >= 0) {
-			this.log.recordPlainResponse(tookMs);
-		}
-	}
-
 	// Records that an endpoint failed a request.
 	void onEndpointFailed(Endpoint endpoint, long nowNanos) {
 		this.faults.recordResponse(endpoint.id(), true, nowNanos);
