Move the state of a send and the response to the caller out of Exchange

Exchange kept ten fields of its current send, which each send had to reset, and built the header fields of responses. SendState now holds one send and ReceivedResponse classifies its response; CallerResponse writes to the caller. No change of behaviour: the same steps in the same order.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -7,13 +7,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.blame.RequestTraits;
 import org.comfreyslip.entry.blame.SuspectRequest;
@@ -77,41 +72,15 @@
 	/** Steady time in ns at which the request times out. */
 	private long deadlineNanos;
 
-	/** The target of the current or last send, or null before the first one. */
-	private SendTarget target;
-
-	/** Whether a send is open. */
-	private boolean sending;
+	/** The current or last send, or null before the first one. */
+	private SendState send;
 
 	/** Whether the request, of another daemon, counts against their number here. */
 	private boolean countedAsTaken;
 
-	/** The connection of the current send, or null if no send is open. */
-	private EndpointConnection connection;
-
-	/** Whether the write of the current send to an open connection has started. */
-	private boolean writeStarted;
-
-	/** Progress of the current or last send, or null before the first one. */
-	private SendProgress progress;
-
-	/** Steady time in ns at which the current send began. */
-	private long sentAtNanos;
-
 	private final StreamActivity activity = new StreamActivity();
 
-	/** Response head of the current send, or null before it arrives. */
-	private HttpResponse responseHead;
-
-	private HeaderTranslator.ResponseFields responseFields;
-
-	private final ResponseBuffer responseBuffer;
-
-	/** Whether the response of the current send is relayed to the caller as a stream. */
-	private boolean relayingStream;
-
-	/** Whether the response head of a stream has been sent to the caller. */
-	private boolean streamStarted;
+	private final CallerResponse callerResponse;
 
 	private final EventFramer framer = new EventFramer();
 
@@ -129,7 +98,7 @@
 		this.caller = caller;
 		this.callerRequest = callerRequest;
 		this.requestFields = router.headers().readRequest(callerRequest.head());
-		this.responseBuffer = new ResponseBuffer(router.buffers());
+		this.callerResponse = new CallerResponse(caller, router.headers(), id(), isOfOtherDaemon());
 		this.attempts = new SendAttempts(callerRequest.envelope(), router.faults()::hasExitedUnexpectedly);
 	}
 
@@ -144,7 +113,7 @@
 
 	// Returns the path of the current or last send; empty for plain services and daemons.
 	Optional<LayerPath> path() {
-		return Optional.ofNullable(this.target).flatMap(SendTarget::path);
+		return Optional.ofNullable(this.send).flatMap((one) -> one.target().path());
 	}
 
 	/** Admits the request and sends it to an endpoint, or responds with the refusal. */
@@ -194,7 +163,7 @@
 		}
 		TargetChoice choice = this.router.targets().choose(this.query, now);
 		choice.heldBack().forEach((endpoint) -> this.router.endpointLimits().recordHeldBack(endpoint.id()));
-		choice.target().ifPresentOrElse((next) -> send(next, now), () -> onNoTarget(choice, now));
+		choice.target().ifPresentOrElse((target) -> startSend(target, now), () -> onNoTarget(choice, now));
 	}
 
 	private Optional<Refusal> findObstacle(long now) {
@@ -210,7 +179,8 @@
 		if (choice.reachable() && this.query.isForEngine()) {
 			logMissingPath(choice.heldBack().size(), now);
 		}
-		if (!choice.reachable() && isOfOtherDaemon() && !this.streamStarted && !this.attempts.hasRunHere()) {
+		if (!choice.reachable() && isOfOtherDaemon() && !this.callerResponse.isStreamStarted()
+				&& !this.attempts.hasRunHere()) {
 			decline(RefusalCause.OUT_OF_REACH.reason());
 			return;
 		}
@@ -227,81 +197,65 @@
 	// Tells the daemon that passed the request on that it has not run here.
 	private void decline(String reason) {
 		this.router.log().count(EntryMetrics.Count.RELAYS_DECLINED);
-		DefaultFullHttpResponse response = OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, -1);
-		new RelayReply(RelayReply.Kind.DECLINED, id()).writeTo(response.headers());
 		finish(Outcome.REFUSED, "declined: " + reason);
-		this.caller.sendResponse(response);
+		this.callerResponse.sendDeclined(reason);
 	}
 
-	private void send(SendTarget next, long now) {
-		this.target = next;
-		this.sending = true;
-		this.writeStarted = false;
-		this.responseHead = null;
-		this.relayingStream = false;
-		this.sentAtNanos = now;
-		this.progress = new SendProgress(now);
+	private void startSend(SendTarget target, long now) {
+		this.send = new SendState(target, this.router.buffers(), now);
 		this.activity.onProgress(now);
-		this.attempts.onSend(next);
+		this.attempts.onSend(target);
 		Optional<Long> resumeAfter = this.framer.lastEventId().or(this.requestFields::lastEventId);
 		OutgoingRequest request = new OutgoingRequest(this.callerRequest, id(), this.admitted,
 				Math.max(1, remainingMs(now)), resumeAfter, this.attempts.envelope(this.admitted.version()));
-		this.connection = this.router.sender().start(next, request, this, now);
+		this.send.setConnection(this.router.sender().start(target, request, this, now));
+	}
+
+	private boolean isSending() {
+		return this.send != null && this.send.isOpen();
 	}
 
 	private boolean isAtEndpoint() {
-		return this.sending && this.target.endpoint().isPresent();
+		return isSending() && this.send.isToEndpoint();
 	}
 
 	private boolean isAtDaemon() {
-		return this.sending && this.target.daemon().isPresent();
+		return isSending() && this.send.isToDaemon();
 	}
 
-	// Returns the endpoint of the current send, which is not to a daemon.
-	private Endpoint endpoint() {
-		return this.target.endpoint().get();
+	// Returns the connection of the current send; empty if no send is open.
+	private Optional<EndpointConnection> connection() {
+		return Optional.ofNullable(this.send).flatMap(SendState::connection);
 	}
 
 	// Ends the current send, if there is one, and releases its reservations. The time
 	// that it took is in ms; negative if it does not count as a response time.
 	private void endSend(double tookMs) {
-		if (!this.sending) {
-			return;
+		if (isSending()) {
+			this.router.sender().end(this.send.target(), this.send.startedAtNanos(), tookMs);
+			this.send.end();
 		}
-		this.router.sender().end(this.target, this.sentAtNanos, tookMs);
-		this.sending = false;
-		this.connection = null;
-		this.responseBuffer.clear();
 	}
 
 	@Override
 	public void onRequestWriteStarted() {
-		this.writeStarted = true;
+		this.send.onWriteStarted();
 	}
 
 	@Override
 	public void onResponseHead(HttpResponse head, HeaderTranslator.ResponseFields fields) {
-		this.responseHead = head;
-		this.responseFields = fields;
-		this.progress.onHead();
+		this.send.onHead(new ReceivedResponse(head, fields), this.admitted.route().kind() == RouteKind.STREAMING);
 		if (isAtEndpoint()) {
-			this.router.onResponseHead(endpoint(), fields, this.sentAtNanos, System.nanoTime());
+			this.router.onResponseHead(this.send.endpoint(), fields, this.send.startedAtNanos(), System.nanoTime());
 		}
-		boolean success = head.status().code() / 100 == 2 && fields.signed() && !fields.contentEncoded()
-				&& (!isAtDaemon() || repliesFor(head, RelayReply.Kind.ENDPOINT));
-		this.relayingStream = this.admitted.route().kind() == RouteKind.STREAMING && success;
-		if (this.relayingStream) {
+		if (this.send.isRelayingStream()) {
 			this.activity.onProgress(System.nanoTime());
 		}
 	}
 
-	private static boolean repliesFor(HttpResponse head, RelayReply.Kind kind) {
-		return RelayReply.readFrom(head.headers()).filter((reply) -> reply.kind() == kind).isPresent();
-	}
-
 	@Override
 	public void onResponseContent(ByteBuf content) {
-		if (!this.relayingStream) {
+		if (!this.send.isRelayingStream()) {
 			bufferContent(content);
 			return;
 		}
@@ -310,7 +264,7 @@
 		long eventsBefore = this.framer.eventCount();
 		byte[] events = this.framer.extractNewEvents(bytes);
 		if (this.framer.exceedsLimit()) {
-			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
+			this.send.connection().get().failBecauseOf(SendFailureCause.ENDLESS);
 			return;
 		}
 		if (this.framer.eventCount() > eventsBefore) {
@@ -323,15 +277,15 @@
 	}
 
 	private void onEventsReceived(long now) {
-		this.progress.onAnswer(now);
-		if (!this.proven && this.progress.isProven(now)) {
+		this.send.progress().onAnswer(now);
+		if (!this.proven && this.send.progress().isProven(now)) {
 			recordProven(now);
 		}
 		if (isAtEndpoint()) {
 			this.router.onContact(this.admitted.service(), now);
 		}
-		this.activity.onEvents(this.streamStarted, now);
-		if (this.streamStarted
+		this.activity.onEvents(this.callerResponse.isStreamStarted(), now);
+		if (this.callerResponse.isStreamStarted()
 				&& this.activity.meanEventGapMs() > SilenceLimits.slowEventGapMs(this.admitted.route())) {
 			path().ifPresent((path) -> this.router.probes().probeSlowStream(path, now));
 		}
@@ -343,51 +297,35 @@
 	}
 
 	private void bufferContent(ByteBuf content) {
-		this.progress.onAnswer(System.nanoTime());
-		if (!this.responseBuffer.tryAppend(content)) {
-			this.connection.failBecauseOf(SendFailureCause.ENDLESS);
+		this.send.progress().onAnswer(System.nanoTime());
+		if (!this.send.buffer().tryAppend(content)) {
+			this.send.connection().get().failBecauseOf(SendFailureCause.ENDLESS);
 		}
 	}
 
 	// Sends the response head to the caller unless an earlier send of the stream did so.
 	private void startStreamIfNeeded() {
-		if (!this.streamStarted) {
-			this.streamStarted = true;
+		if (!this.callerResponse.isStreamStarted()) {
 			this.router.log().recordFirstEvent(this.callerRequest.arrivalNanos(), this.activity.lastProgressNanos());
-			this.caller.startStreamedResponse(this.responseHead, relayedHeaders());
+			this.callerResponse.startStream(this.send.response().head());
 		}
 	}
 
-	private HttpHeaders relayedHeaders() {
-		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory()
-			.withValidation(false)
-			.newHeaders()
-			.add(this.responseHead.headers());
-		this.router.headers().rewriteForCaller(headers);
-		if (isOfOtherDaemon()) {
-			new RelayReply(RelayReply.Kind.ENDPOINT, id()).writeTo(headers);
-		}
-		else {
-			headers.remove(RelayEnvelope.FIELD);
-		}
-		return headers;
-	}
-
 	@Override
 	public void onReadComplete() {
-		if (this.relayingStream && this.streamStarted && !this.finished) {
+		if (this.send.isRelayingStream() && this.callerResponse.isStreamStarted() && !this.finished) {
 			this.caller.flush();
 			if (!this.caller.isWritable()) {
-				this.connection.setReading(false);
+				this.send.connection().get().setReading(false);
 			}
 		}
 	}
 
 	void onCallerWritable(boolean writable) {
-		if (this.connection != null && this.relayingStream) {
-			this.connection.setReading(writable);
+		connection().filter((open) -> this.send.isRelayingStream()).ifPresent((open) -> {
+			open.setReading(writable);
 			this.activity.onProgress(System.nanoTime());
-		}
+		});
 	}
 
 	@Override
@@ -395,7 +333,7 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.relayingStream) {
+		if (this.send.isRelayingStream()) {
 			onStreamComplete();
 		}
 		else {
@@ -409,11 +347,11 @@
 			return;
 		}
 		long now = System.nanoTime();
-		if (this.progress.hasBegun()) {
+		if (this.send.progress().hasBegun()) {
 			recordProven(now);
 		}
 		if (isAtEndpoint()) {
-			this.router.faults().recordResponse(endpoint().id(), false, now);
+			this.router.faults().recordResponse(this.send.endpoint().id(), false, now);
 		}
 		path().ifPresent((used) -> used.stages()
 			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
@@ -423,19 +361,18 @@
 	}
 
 	private void onPlainResponseComplete() {
-		int status = this.responseHead.status().code();
+		ReceivedResponse response = this.send.response();
+		int status = response.status();
 		long now = System.nanoTime();
 		if (isAtDaemon()) {
-			onDaemonResponse(now);
+			onDaemonResponse(response, now);
 			return;
 		}
-		if (this.responseFields.notExecuted() || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			onNotExecuted(status, now);
+		if (response.isNotExecuted()) {
+			onNotExecuted(response, now);
 			return;
 		}
-		boolean genuine = this.responseFields.signed() && !this.responseFields.contentEncoded();
-		boolean claimsNotRun = status == 408 || status == 429 || status == 503;
-		if (!genuine || claimsNotRun) {
+		if (!response.isGenuineOfEndpoint()) {
 			onSendFailed(SendFailureCause.GARBLED);
 			return;
 		}
@@ -444,17 +381,18 @@
 			recordProven(now);
 		}
 		if (failed) {
-			this.router.onEndpointFailed(endpoint(), now);
+			this.router.onEndpointFailed(this.send.endpoint(), now);
 		}
 		else {
-			this.router.faults().recordResponse(endpoint().id(), false, now);
+			this.router.faults().recordResponse(this.send.endpoint().id(), false, now);
 		}
-		if (failed && this.admitted.route().mayRunAgain() && !this.streamStarted && recordRunAndTakeRetry()) {
+		if (failed && this.admitted.route().mayRunAgain() && !this.callerResponse.isStreamStarted()
+				&& recordRunAndTakeRetry()) {
 			this.attempts.recordUnknownOutcome();
 			resend("status " + status);
 			return;
 		}
-		if (this.streamStarted) {
+		if (this.callerResponse.isStreamStarted()) {
 			endSend(-1);
 			suspend();
 			return;
@@ -463,45 +401,47 @@
 	}
 
 	private void relayPlainResponse(Outcome outcome, long now) {
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.responseHead.status(),
-				this.responseBuffer.body(), relayedHeaders(), EmptyHttpHeaders.INSTANCE);
-		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		endSend((response.status().code() < 500) ? (now - this.sentAtNanos) / 1e6 : -1);
-		finish(outcome, "status " + response.status().code());
-		this.caller.sendResponse(response);
+		DefaultFullHttpResponse response = this.callerResponse.relay(this.send.response().head(),
+				this.send.buffer().body());
+		int status = response.status().code();
+		endSend((status < 500) ? (now - this.send.startedAtNanos()) / 1e6 : -1);
+		finish(outcome, "status " + status);
+		this.callerResponse.sendRelayed(response);
 	}
 
 	// A response of another daemon is final, unless it has not taken the request.
-	private void onDaemonResponse(long now) {
-		if (repliesFor(this.responseHead, RelayReply.Kind.DECLINED)) {
-			this.router.relays().onNotTaken(this.target.daemon().get(), this.admitted.service(), now);
+	private void onDaemonResponse(ReceivedResponse response, long now) {
+		if (response.isReply(RelayReply.Kind.DECLINED)) {
+			this.router.relays().onNotTaken(this.send.target().daemon().get(), this.admitted.service(), now);
 			endSend(-1);
 			dispatch();
 			return;
 		}
-		boolean ofEndpoint = repliesFor(this.responseHead, RelayReply.Kind.ENDPOINT);
-		boolean genuine = ofEndpoint == this.responseFields.signed() && !this.responseFields.contentEncoded();
-		if (!genuine || !(ofEndpoint || repliesFor(this.responseHead, RelayReply.Kind.DAEMON))) {
+		if (!response.isGenuineOfDaemon()) {
 			onSendFailed(SendFailureCause.GARBLED);
 			return;
 		}
-		if (this.streamStarted) {
+		if (this.callerResponse.isStreamStarted()) {
 			endSend(-1);
 			suspend();
 			return;
 		}
-		relayPlainResponse((ofEndpoint) ? Outcome.SERVED : Outcome.ofOwnStatus(this.responseHead.status().code()), now);
+		boolean ofEndpoint = response.isReply(RelayReply.Kind.ENDPOINT);
+		relayPlainResponse((ofEndpoint) ? Outcome.SERVED : Outcome.ofOwnStatus(response.status()), now);
 	}
 
-	private void onNotExecuted(int status, long now) {
-		String faultyAddress = this.responseFields.faultAddress().orElse(SocketAddresses.text(endpoint().address()));
-		boolean causedByOther = this.router.recordEndpointRefusal(endpoint(), faultyAddress, status, now);
+	private void onNotExecuted(ReceivedResponse response, long now) {
+		int status = response.status();
+		String faultyAddress = response.fields()
+			.faultAddress()
+			.orElse(SocketAddresses.text(this.send.endpoint().address()));
+		boolean causedByOther = this.router.recordEndpointRefusal(this.send.endpoint(), faultyAddress, status, now);
 		// The first endpoint of the path stays usable if another one caused the refusal.
-		String refusingId = endpoint().id();
 		if (!causedByOther) {
-			this.attempts.exclude(refusingId);
+			this.attempts.exclude(this.send.endpoint().id());
 		}
-		if (this.attempts.hasSendsLeft(this.streamStarted) && this.router.tryTakeRetry(this.admitted.service(), now)) {
+		if (this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())
+				&& this.router.tryTakeRetry(this.admitted.service(), now)) {
 			endSend(-1);
 			dispatch();
 			return;
@@ -513,22 +453,22 @@
 	// Records that the current endpoint may have run the request. Returns whether it may
 	// run once more, and if so takes a retry from the budget.
 	private boolean recordRunAndTakeRetry() {
-		this.attempts.recordRun(this.target);
-		return (this.attempts.hasRunsLeft(this.admitted.route()) || this.streamStarted)
-				&& this.attempts.hasSendsLeft(this.streamStarted)
+		this.attempts.recordRun(this.send.target());
+		return (this.attempts.hasRunsLeft(this.admitted.route()) || this.callerResponse.isStreamStarted())
+				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())
 				&& this.router.tryTakeRetry(this.admitted.service(), System.nanoTime());
 	}
 
 	// Ends the current send, excludes its endpoint and dispatches the request again.
 	private void resend(String reason) {
-		this.attempts.exclude(endpoint().id());
+		this.attempts.exclude(this.send.endpoint().id());
 		dispatchAgain(reason);
 	}
 
 	// Ends the current send and dispatches the request again, to any endpoint that is not
 	// excluded.
 	private void dispatchAgain(String reason) {
-		this.router.log().recordMove(id(), endpoint().id(), reason);
+		this.router.log().recordMove(id(), this.send.endpoint().id(), reason);
 		endSend(-1);
 		dispatch();
 	}
@@ -543,9 +483,9 @@
 			onRelayFailed(cause, now);
 			return;
 		}
-		String endpointId = endpoint().id();
+		String endpointId = this.send.endpoint().id();
 		this.router.log()
-			.recordBrokenSend(id(), endpoint(), cause, this.progress.describe(now),
+			.recordBrokenSend(id(), this.send.endpoint(), cause, this.send.progress().describe(now),
 					this.requestFields.sharedPromptParts(), this.digest);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
@@ -558,17 +498,18 @@
 			return;
 		}
 		if (cause.isCausedByTarget()) {
-			this.router.onEndpointFailed(endpoint(), now);
+			this.router.onEndpointFailed(this.send.endpoint(), now);
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			this.attempts.exclude(endpointId);
 		}
 		this.attempts.recordUnknownOutcome();
 		this.framer.dropPartialEvent();
-		if (cause == SendFailureCause.CLOSED && !this.proven && !this.progress.isProven(now)) {
+		if (cause == SendFailureCause.CLOSED && !this.proven && !this.send.progress().isProven(now)) {
 			if (path().isEmpty()) {
-				this.router.checkWhetherEnded(endpoint());
+				this.router.checkWhetherEnded(this.send.endpoint());
 			}
-			this.router.crashBlame().onSendBroken(endpoint().processId(), new SuspectRequest(id(), this.traits), now);
+			this.router.crashBlame()
+				.onSendBroken(this.send.endpoint().processId(), new SuspectRequest(id(), this.traits), now);
 			if (this.attempts.hasEndedEndpointBesides(endpointId)
 					|| !this.router.crashBlame().mayRepeat(this.traits, now)) {
 				endSend(-1);
@@ -581,8 +522,8 @@
 			return;
 		}
 		endSend(-1);
-		if (this.streamStarted && this.admitted.route().mayRunAgain()
-				&& this.attempts.hasSendsLeft(this.streamStarted)) {
+		if (this.callerResponse.isStreamStarted() && this.admitted.route().mayRunAgain()
+				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())) {
 			suspend();
 			return;
 		}
@@ -592,8 +533,8 @@
 	// The connection to another daemon failed. An endpoint may have run the request if
 	// that daemon had it.
 	private void onRelayFailed(SendFailureCause cause, long now) {
-		String name = this.target.daemon().get().name();
-		this.router.relays().onNotTaken(this.target.daemon().get(), this.admitted.service(), now);
+		String name = this.send.target().daemon().get().name();
+		this.router.relays().onNotTaken(this.send.target().daemon().get(), this.admitted.service(), now);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			endSend(-1);
 			dispatch();
@@ -601,10 +542,10 @@
 		}
 		this.attempts.recordUnknownOutcome();
 		this.framer.dropPartialEvent();
-		this.attempts.recordRun(this.target);
+		this.attempts.recordRun(this.send.target());
 		boolean mayRunAgain = this.admitted.route().mayRunAgain()
-				&& (this.attempts.hasRunsLeft(this.admitted.route()) || this.streamStarted)
-				&& this.attempts.hasSendsLeft(this.streamStarted);
+				&& (this.attempts.hasRunsLeft(this.admitted.route()) || this.callerResponse.isStreamStarted())
+				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted());
 		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.router.log().recordMove(id(), name, cause.name());
 			endSend(-1);
@@ -612,7 +553,7 @@
 			return;
 		}
 		endSend(-1);
-		if (mayRunAgain && this.streamStarted) {
+		if (mayRunAgain && this.callerResponse.isStreamStarted()) {
 			suspend();
 			return;
 		}
@@ -622,9 +563,9 @@
 	// No endpoint of the service can be reached. Passes the request on if it has not been
 	// written to one.
 	void onServiceLost(String service) {
-		boolean unsent = isAtEndpoint() && this.connection != null && !this.writeStarted;
+		boolean unsent = isAtEndpoint() && connection().isPresent() && !this.send.isWriteStarted();
 		if (!this.finished && unsent && this.admitted.service().equals(service)) {
-			this.connection.abort();
+			this.send.connection().get().abort();
 			endSend(-1);
 			dispatch();
 		}
@@ -634,20 +575,20 @@
 	// endpoint or path can take the request: a silent endpoint may still continue its
 	// response.
 	void abandonSend(SendFailureCause cause) {
-		if (this.finished || this.connection == null || !this.admitted.route().mayRunAgain()) {
+		if (this.finished || connection().isEmpty() || !this.admitted.route().mayRunAgain()) {
 			return;
 		}
 		long now = System.nanoTime();
-		boolean maySendAgain = this.attempts.hasSendsLeft(this.streamStarted)
+		boolean maySendAgain = this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())
 				&& this.router.hasRetryLeft(this.admitted.service(), now);
 		if (!maySendAgain) {
 			return;
 		}
 		if (isAtEndpoint()) {
-			this.attempts.recordRun(this.target);
+			this.attempts.recordRun(this.send.target());
 		}
-		if (this.router.targets().hasAlternative(this.query, this.target, cause, now)) {
-			this.connection.abort();
+		if (this.router.targets().hasAlternative(this.query, this.send.target(), cause, now)) {
+			this.send.connection().get().abort();
 			onSendFailed(cause);
 		}
 	}
@@ -673,17 +614,17 @@
 		Optional<SendTarget> next = this.router.targets().choose(this.query, now).target();
 		if (next.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.suspended = false;
-			send(next.get(), now);
+			startSend(next.get(), now);
 		}
 	}
 
 	// Ends a request that is not sent now: refuses it, fails it if it may have run, or
 	// suspends it if its stream has started and may go on later.
 	private void refuse(Refusal refusal) {
-		if (this.streamStarted && refusal.cause().isTemporary()) {
+		if (this.callerResponse.isStreamStarted() && refusal.cause().isTemporary()) {
 			suspend();
 		}
-		else if (this.streamStarted || this.attempts.isOutcomeUnknown()) {
+		else if (this.callerResponse.isStreamStarted() || this.attempts.isOutcomeUnknown()) {
 			failRequest(refusal.reason());
 		}
 		else {
@@ -692,7 +633,7 @@
 	}
 
 	private void failRequest(String reason) {
-		if (this.streamStarted) {
+		if (this.callerResponse.isStreamStarted()) {
 			breakOffStream(reason);
 			return;
 		}
@@ -710,14 +651,14 @@
 	}
 
 	private void timeOut(String reason) {
-		if (this.connection != null) {
-			if (this.writeStarted) {
+		connection().ifPresent((open) -> {
+			if (this.send.isWriteStarted()) {
 				this.attempts.recordUnknownOutcome();
 			}
-			this.connection.abort();
-		}
+			open.abort();
+		});
 		endSend(-1);
-		if (this.streamStarted) {
+		if (this.callerResponse.isStreamStarted()) {
 			breakOffStream(reason);
 			return;
 		}
@@ -726,11 +667,8 @@
 	}
 
 	private void respond(DefaultFullHttpResponse response, Outcome outcome, String reason) {
-		if (isOfOtherDaemon()) {
-			new RelayReply(RelayReply.Kind.DAEMON, id()).writeTo(response.headers());
-		}
 		finish(outcome, reason);
-		this.caller.sendResponse(response);
+		this.callerResponse.sendOwn(response);
 	}
 
 	private void finish(Outcome outcome, String reason) {
@@ -751,16 +689,14 @@
 	 * cancels the work there.
 	 */
 	void onCallerDisconnected() {
-		if (this.connection != null) {
-			this.connection.abort();
-		}
+		connection().ifPresent(EndpointConnection::abort);
 		finish(Outcome.CALLER_LEFT, "connection closed");
 	}
 
 	// Checks the deadline, resumes a suspended stream, and acts on silent endpoints.
 	// Called periodically.
 	void checkTimeouts(long nowNanos) {
-		if (this.finished || (!this.sending && !this.suspended)) {
+		if (this.finished || (!isSending() && !this.suspended)) {
 			return;
 		}
 		if (remainingMs(nowNanos) <= 0) {
@@ -782,14 +718,14 @@
 			}
 			return;
 		}
-		this.router.checkProgress(this.admitted.service(), silenceMs, !this.writeStarted, nowNanos);
+		this.router.checkProgress(this.admitted.service(), silenceMs, !this.send.isWriteStarted(), nowNanos);
 		if (this.finished || !isAtEndpoint()) {
 			return;
 		}
 		if (path().isPresent()) {
 			probeSilentStream(nowNanos, silenceMs, route);
 		}
-		else if (route.mayRunAgain() && this.writeStarted && this.responseHead == null
+		else if (route.mayRunAgain() && this.send.isWriteStarted() && !this.send.hasResponse()
 				&& silenceMs >= SilenceLimits.plainMs(route) && this.attempts.runCount() + 1 < route.maxAttempts()) {
 			abandonSend(SendFailureCause.SILENT);
 		}
@@ -797,17 +733,17 @@
 
 	// Probes the first endpoint of a stream that made no progress for too long.
 	private void probeSilentStream(long nowNanos, long silenceMs, Route route) {
-		long silenceLimitMs = (this.streamStarted) ? SilenceLimits.eventGapMs(route)
+		long silenceLimitMs = (this.callerResponse.isStreamStarted()) ? SilenceLimits.eventGapMs(route)
 				: SilenceLimits.firstEventMs(route);
-		if (!this.writeStarted || silenceMs < silenceLimitMs || this.activity.isProbedRecently(nowNanos)
+		if (!this.send.isWriteStarted() || silenceMs < silenceLimitMs || this.activity.isProbedRecently(nowNanos)
 				|| !this.caller.isWritable()) {
 			return;
 		}
 		this.activity.onProbeStarted(nowNanos);
-		EndpointConnection probedConnection = this.connection;
-		this.router.probes().probeSilentStream(this, endpoint(), (result) -> {
+		Optional<EndpointConnection> probed = connection();
+		this.router.probes().probeSilentStream(this, this.send.endpoint(), (result) -> {
 			this.activity.onProbeEnded();
-			if (!this.finished && probedConnection == this.connection) {
+			if (!this.finished && probed.equals(connection())) {
 				result.failureCause().ifPresent(this::abandonSend);
 			}
 		});
