Move the suspicion of crashes and the decisions on silent sends out of Exchange

CrashSuspicion keeps the traits of a request and whether it is proven harmless; SilenceAction decides what is done about a send without progress. No change of behaviour: the same thresholds, checked in the same order.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -10,10 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryMetrics;
-import org.comfreyslip.entry.blame.RequestTraits;
-import org.comfreyslip.entry.blame.SuspectRequest;
 import org.comfreyslip.entry.layers.LayerPath;
-import org.comfreyslip.entry.model.ClientAccount;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
@@ -38,12 +34,6 @@
 	 */
 	private static final long MIN_REMAINING_MS = 20;
 
-	/**
-	 * Time without progress after which a request is taken back from another daemon, in
-	 * ms: longer than the silence after which that daemon turns to another endpoint.
-	 */
-	private static final long DAEMON_SILENCE_MS = 1_200;
-
 	private final Router router;
 
 	private final CallerConnection caller;
@@ -60,14 +50,8 @@
 	/** What the choice of a target depends on, or null before admission. */
 	private TargetQuery query;
 
-	/** Digest that only this request has when it is sent again. */
-	private String digest = "";
-
-	/** What other requests that crash endpoints may have in common with this one. */
-	private Set<String> traits = Set.of();
-
-	/** Whether an endpoint has answered for some time, so that this one crashes none. */
-	private boolean proven;
+	/** Whether the request may crash endpoints, or null before admission. */
+	private CrashSuspicion suspicion;
 
 	/** Steady time in ns at which the request times out. */
 	private long deadlineNanos;
@@ -134,8 +118,8 @@
 		}
 		this.admitted = admission.admitted();
 		this.query = TargetQuery.of(this.admitted, this.requestFields, this.attempts);
-		this.digest = RequestDigest.of(this.callerRequest, this.admitted.account().map(ClientAccount::name).orElse(""));
-		this.traits = RequestTraits.of(this.admitted.service(), this.requestFields.sharedPromptParts(), this.digest);
+		this.suspicion = new CrashSuspicion(this.router.crashBlame(), this.callerRequest, this.requestFields,
+				this.admitted);
 		long waitMs = this.admitted.route().timeoutMs();
 		if (this.requestFields.deadlineMs() >= 0) {
 			waitMs = Math.min(waitMs, this.requestFields.deadlineMs());
@@ -170,7 +154,7 @@
 		if (!this.router.mayStillSend(this.admitted)) {
 			return Optional.of(this.router.refusals().ofStaleKeys());
 		}
-		return this.router.refusals().ofCrashing(this.traits, now);
+		return this.router.refusals().ofCrashing(this.suspicion.traits(), now);
 	}
 
 	// Ends or suspends a request that has no target. A request of another daemon that has
@@ -278,9 +262,7 @@
 
 	private void onEventsReceived(long now) {
 		this.send.progress().onAnswer(now);
-		if (!this.proven && this.send.progress().isProven(now)) {
-			recordProven(now);
-		}
+		this.suspicion.onEvents(this.send.progress(), now);
 		if (isAtEndpoint()) {
 			this.router.onContact(this.admitted.service(), now);
 		}
@@ -291,11 +273,6 @@
 		}
 	}
 
-	private void recordProven(long now) {
-		this.proven = true;
-		this.router.crashBlame().onAnswered(this.traits, now);
-	}
-
 	private void bufferContent(ByteBuf content) {
 		this.send.progress().onAnswer(System.nanoTime());
 		if (!this.send.buffer().tryAppend(content)) {
@@ -348,7 +325,7 @@
 		}
 		long now = System.nanoTime();
 		if (this.send.progress().hasBegun()) {
-			recordProven(now);
+			this.suspicion.onAnswered(now);
 		}
 		if (isAtEndpoint()) {
 			this.router.faults().recordResponse(this.send.endpoint().id(), false, now);
@@ -378,7 +355,7 @@
 		}
 		boolean failed = status >= 500;
 		if (!failed && path().isEmpty()) {
-			recordProven(now);
+			this.suspicion.onAnswered(now);
 		}
 		if (failed) {
 			this.router.onEndpointFailed(this.send.endpoint(), now);
@@ -393,7 +370,6 @@
 			return;
 		}
 		if (this.callerResponse.isStreamStarted()) {
-			endSend(-1);
 			suspend();
 			return;
 		}
@@ -413,8 +389,7 @@
 	private void onDaemonResponse(ReceivedResponse response, long now) {
 		if (response.isReply(RelayReply.Kind.DECLINED)) {
 			this.router.relays().onNotTaken(this.send.target().daemon().get(), this.admitted.service(), now);
-			endSend(-1);
-			dispatch();
+			redispatch();
 			return;
 		}
 		if (!response.isGenuineOfDaemon()) {
@@ -422,7 +397,6 @@
 			return;
 		}
 		if (this.callerResponse.isStreamStarted()) {
-			endSend(-1);
 			suspend();
 			return;
 		}
@@ -442,14 +416,19 @@
 		}
 		if (this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())
 				&& this.router.tryTakeRetry(this.admitted.service(), now)) {
-			endSend(-1);
-			dispatch();
+			redispatch();
 			return;
 		}
 		endSend(-1);
 		refuse(this.router.refusals().ofEndpointRefusal(status));
 	}
 
+	// Ends the current send and dispatches the request again.
+	private void redispatch() {
+		endSend(-1);
+		dispatch();
+	}
+
 	// Records that the current endpoint may have run the request. Returns whether it may
 	// run once more, and if so takes a retry from the budget.
 	private boolean recordRunAndTakeRetry() {
@@ -469,8 +448,7 @@
 	// excluded.
 	private void dispatchAgain(String reason) {
 		this.router.log().recordMove(id(), this.send.endpoint().id(), reason);
-		endSend(-1);
-		dispatch();
+		redispatch();
 	}
 
 	@Override
@@ -486,7 +464,7 @@
 		String endpointId = this.send.endpoint().id();
 		this.router.log()
 			.recordBrokenSend(id(), this.send.endpoint(), cause, this.send.progress().describe(now),
-					this.requestFields.sharedPromptParts(), this.digest);
+					this.requestFields.sharedPromptParts(), this.suspicion.digest());
 		if (cause == SendFailureCause.NOT_CONNECTED) {
 			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
 			if (this.attempts.hasSendsLeft(false)) {
@@ -504,14 +482,12 @@
 		}
 		this.attempts.recordUnknownOutcome();
 		this.framer.dropPartialEvent();
-		if (cause == SendFailureCause.CLOSED && !this.proven && !this.send.progress().isProven(now)) {
+		if (this.suspicion.isPossible(cause, this.send.progress(), now)) {
 			if (path().isEmpty()) {
 				this.router.checkWhetherEnded(this.send.endpoint());
 			}
-			this.router.crashBlame()
-				.onSendBroken(this.send.endpoint().processId(), new SuspectRequest(id(), this.traits), now);
-			if (this.attempts.hasEndedEndpointBesides(endpointId)
-					|| !this.router.crashBlame().mayRepeat(this.traits, now)) {
+			this.suspicion.onSendBroken(this.send.endpoint(), now);
+			if (this.attempts.hasEndedEndpointBesides(endpointId) || !this.suspicion.mayRepeat(now)) {
 				endSend(-1);
 				failRequest("endpoint " + endpointId + " ended, as did others before");
 				return;
@@ -536,8 +512,7 @@
 		String name = this.send.target().daemon().get().name();
 		this.router.relays().onNotTaken(this.send.target().daemon().get(), this.admitted.service(), now);
 		if (cause == SendFailureCause.NOT_CONNECTED) {
-			endSend(-1);
-			dispatch();
+			redispatch();
 			return;
 		}
 		this.attempts.recordUnknownOutcome();
@@ -548,8 +523,7 @@
 				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted());
 		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.router.log().recordMove(id(), name, cause.name());
-			endSend(-1);
-			dispatch();
+			redispatch();
 			return;
 		}
 		endSend(-1);
@@ -566,8 +540,7 @@
 		boolean unsent = isAtEndpoint() && connection().isPresent() && !this.send.isWriteStarted();
 		if (!this.finished && unsent && this.admitted.service().equals(service)) {
 			this.send.connection().get().abort();
-			endSend(-1);
-			dispatch();
+			redispatch();
 		}
 	}
 
@@ -593,8 +566,10 @@
 		}
 	}
 
-	// Suspends a stream that has started until a path over all layers has capacity again.
+	// Ends the current send, if there is one, and suspends the stream, which has started,
+	// until a path over all layers has capacity again.
 	private void suspend() {
+		endSend(-1);
 		this.suspended = true;
 		this.lastResumeAttemptNanos = System.nanoTime();
 		this.attempts.readmitAll();
@@ -603,7 +578,7 @@
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
 	private void tryResume(long now) {
 		this.lastResumeAttemptNanos = now;
-		Optional<Refusal> crashing = this.router.refusals().ofCrashing(this.traits, now);
+		Optional<Refusal> crashing = this.router.refusals().ofCrashing(this.suspicion.traits(), now);
 		if (crashing.isPresent()) {
 			refuse(crashing.get());
 			return;
@@ -713,32 +688,30 @@
 		long silenceMs = this.activity.silenceMs(nowNanos);
 		Route route = this.admitted.route();
 		if (isAtDaemon()) {
-			if (silenceMs >= DAEMON_SILENCE_MS) {
-				abandonSend(SendFailureCause.SILENT);
-			}
+			act(SilenceAction.ofDaemon(silenceMs), nowNanos);
 			return;
 		}
 		this.router.checkProgress(this.admitted.service(), silenceMs, !this.send.isWriteStarted(), nowNanos);
 		if (this.finished || !isAtEndpoint()) {
 			return;
 		}
-		if (path().isPresent()) {
-			probeSilentStream(nowNanos, silenceMs, route);
-		}
-		else if (route.mayRunAgain() && this.send.isWriteStarted() && !this.send.hasResponse()
-				&& silenceMs >= SilenceLimits.plainMs(route) && this.attempts.runCount() + 1 < route.maxAttempts()) {
+		boolean overPath = path().isPresent();
+		act((overPath) ? SilenceAction.ofPath(this.send, route, this.callerResponse.isStreamStarted(), silenceMs)
+				: SilenceAction.ofPlainEndpoint(this.send, route, this.attempts.runCount(), silenceMs), nowNanos);
+	}
+
+	private void act(SilenceAction action, long nowNanos) {
+		if (action == SilenceAction.ABANDON) {
 			abandonSend(SendFailureCause.SILENT);
 		}
+		else if (action == SilenceAction.PROBE && !this.activity.isProbedRecently(nowNanos)
+				&& this.caller.isWritable()) {
+			probeSilentStream(nowNanos);
+		}
 	}
 
 	// Probes the first endpoint of a stream that made no progress for too long.
-	private void probeSilentStream(long nowNanos, long silenceMs, Route route) {
-		long silenceLimitMs = (this.callerResponse.isStreamStarted()) ? SilenceLimits.eventGapMs(route)
-				: SilenceLimits.firstEventMs(route);
-		if (!this.send.isWriteStarted() || silenceMs < silenceLimitMs || this.activity.isProbedRecently(nowNanos)
-				|| !this.caller.isWritable()) {
-			return;
-		}
+	private void probeSilentStream(long nowNanos) {
 		this.activity.onProbeStarted(nowNanos);
 		Optional<EndpointConnection> probed = connection();
 		this.router.probes().probeSilentStream(this, this.send.endpoint(), (result) -> {
