Move the deadline, the suspension and the results of endpoints out of Exchange

RequestDeadline gives the time left, Suspension the attempts to resume a stream, and EndpointResults records how endpoints treated requests, which Exchange and Router did in part each. No change of behaviour: the same limits and records in the same order.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -1,6 +1,5 @@
 package org.comfreyslip.entry.http;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -10,10 +9,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.layers.LayerPath;
-import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
-import org.comfreyslip.entry.model.SocketAddresses;
 import org.comfreyslip.entry.stream.EventFramer;
 
 /**
@@ -22,18 +19,6 @@
  */
 final class Exchange implements ResponseListener {
 
-	/**
-	 * Time between two attempts to find a path for a suspended stream, in ms: a few steps
-	 * of a placement.
-	 */
-	private static final long RESUME_INTERVAL_MS = 100;
-
-	/**
-	 * Least time until the deadline with which a send is started, in ms: one round trip
-	 * and a short wait.
-	 */
-	private static final long MIN_REMAINING_MS = 20;
-
 	private final Router router;
 
 	private final CallerConnection caller;
@@ -53,8 +38,8 @@
 	/** Whether the request may crash endpoints, or null before admission. */
 	private CrashSuspicion suspicion;
 
-	/** Steady time in ns at which the request times out. */
-	private long deadlineNanos;
+	/** Time at which the request times out, or null before admission. */
+	private RequestDeadline deadline;
 
 	/** The current or last send, or null before the first one. */
 	private SendState send;
@@ -71,11 +56,7 @@
 	/** Whether the final response, or the end of the stream, has been decided. */
 	private boolean finished;
 
-	/** Whether a stream that has started waits for a path. */
-	private boolean suspended;
-
-	/** Steady time in ns of the suspension or of the last attempt to resume. */
-	private long lastResumeAttemptNanos;
+	private final Suspension suspension = new Suspension();
 
 	Exchange(Router router, CallerConnection caller, CallerConnection.IncomingRequest callerRequest) {
 		this.router = router;
@@ -120,23 +101,17 @@
 		this.query = TargetQuery.of(this.admitted, this.requestFields, this.attempts);
 		this.suspicion = new CrashSuspicion(this.router.crashBlame(), this.callerRequest, this.requestFields,
 				this.admitted);
-		long waitMs = this.admitted.route().timeoutMs();
-		if (this.requestFields.deadlineMs() >= 0) {
-			waitMs = Math.min(waitMs, this.requestFields.deadlineMs());
-		}
-		this.deadlineNanos = this.callerRequest.arrivalNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+		this.deadline = RequestDeadline.of(this.callerRequest.arrivalNanos(), this.admitted.route(),
+				this.requestFields);
 		this.router.onRequestOpened(this, this.admitted);
 		dispatch();
 	}
 
-	private long remainingMs(long nowNanos) {
-		return TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - nowNanos);
-	}
-
+	// Sends the request to the target that suits it best now, or ends or suspends it.
 	private void dispatch() {
 		long now = System.nanoTime();
-		this.suspended = false;
-		if (remainingMs(now) < MIN_REMAINING_MS) {
+		this.suspension.end();
+		if (!this.deadline.allowsSend(now)) {
 			timeOut("no time left");
 			return;
 		}
@@ -161,7 +136,9 @@
 	// not run here is given back to it.
 	private void onNoTarget(TargetChoice choice, long now) {
 		if (choice.reachable() && this.query.isForEngine()) {
-			logMissingPath(choice.heldBack().size(), now);
+			this.router.log()
+				.recordMissingPath(id(), this.router.targets().describeMissingPath(this.query, now),
+						choice.heldBack().size(), now);
 		}
 		if (!choice.reachable() && isOfOtherDaemon() && !this.callerResponse.isStreamStarted()
 				&& !this.attempts.hasRunHere()) {
@@ -171,13 +148,6 @@
 		refuse(this.router.refusals().ofNoTarget(this.query, choice, now));
 	}
 
-	private void logMissingPath(int heldBackCount, long now) {
-		List<Endpoint> engines = this.router.targets().usableEngines(this.admitted.service(), now);
-		this.router.log()
-			.recordMissingPath(id(), engines.size(), this.router.targets().missingLayers(this.query, engines),
-					heldBackCount, now);
-	}
-
 	// Tells the daemon that passed the request on that it has not run here.
 	private void decline(String reason) {
 		this.router.log().count(EntryMetrics.Count.RELAYS_DECLINED);
@@ -191,7 +161,8 @@
 		this.attempts.onSend(target);
 		Optional<Long> resumeAfter = this.framer.lastEventId().or(this.requestFields::lastEventId);
 		OutgoingRequest request = new OutgoingRequest(this.callerRequest, id(), this.admitted,
-				Math.max(1, remainingMs(now)), resumeAfter, this.attempts.envelope(this.admitted.version()));
+				Math.max(1, this.deadline.remainingMs(now)), resumeAfter,
+				this.attempts.envelope(this.admitted.version()));
 		this.send.setConnection(this.router.sender().start(target, request, this, now));
 	}
 
@@ -327,11 +298,7 @@
 		if (this.send.progress().hasBegun()) {
 			this.suspicion.onAnswered(now);
 		}
-		if (isAtEndpoint()) {
-			this.router.faults().recordResponse(this.send.endpoint().id(), false, now);
-		}
-		path().ifPresent((used) -> used.stages()
-			.forEach((stage) -> this.router.faults().recordSuccess(stage.endpoint().id(), now)));
+		this.router.results().onStreamServed(this.send.target(), now);
 		startStreamIfNeeded();
 		finish(Outcome.SERVED, "stream");
 		this.caller.endStreamedResponse();
@@ -358,10 +325,10 @@
 			this.suspicion.onAnswered(now);
 		}
 		if (failed) {
-			this.router.onEndpointFailed(this.send.endpoint(), now);
+			this.router.results().onFailed(this.send.endpoint(), now);
 		}
 		else {
-			this.router.faults().recordResponse(this.send.endpoint().id(), false, now);
+			this.router.results().onServed(this.send.endpoint(), now);
 		}
 		if (failed && this.admitted.route().mayRunAgain() && !this.callerResponse.isStreamStarted()
 				&& recordRunAndTakeRetry()) {
@@ -405,11 +372,7 @@
 	}
 
 	private void onNotExecuted(ReceivedResponse response, long now) {
-		int status = response.status();
-		String faultyAddress = response.fields()
-			.faultAddress()
-			.orElse(SocketAddresses.text(this.send.endpoint().address()));
-		boolean causedByOther = this.router.recordEndpointRefusal(this.send.endpoint(), faultyAddress, status, now);
+		boolean causedByOther = this.router.results().onRefused(this.send.endpoint(), response, now);
 		// The first endpoint of the path stays usable if another one caused the refusal.
 		if (!causedByOther) {
 			this.attempts.exclude(this.send.endpoint().id());
@@ -420,7 +383,7 @@
 			return;
 		}
 		endSend(-1);
-		refuse(this.router.refusals().ofEndpointRefusal(status));
+		refuse(this.router.refusals().ofEndpointRefusal(response.status()));
 	}
 
 	// Ends the current send and dispatches the request again.
@@ -433,8 +396,7 @@
 	// run once more, and if so takes a retry from the budget.
 	private boolean recordRunAndTakeRetry() {
 		this.attempts.recordRun(this.send.target());
-		return (this.attempts.hasRunsLeft(this.admitted.route()) || this.callerResponse.isStreamStarted())
-				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted())
+		return this.attempts.mayRepeat(this.admitted.route(), this.callerResponse.isStreamStarted())
 				&& this.router.tryTakeRetry(this.admitted.service(), System.nanoTime());
 	}
 
@@ -466,7 +428,7 @@
 			.recordBrokenSend(id(), this.send.endpoint(), cause, this.send.progress().describe(now),
 					this.requestFields.sharedPromptParts(), this.suspicion.digest());
 		if (cause == SendFailureCause.NOT_CONNECTED) {
-			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
+			this.router.results().onSendFailed(this.send.endpoint(), cause, now);
 			if (this.attempts.hasSendsLeft(false)) {
 				resend("no connection");
 				return;
@@ -476,8 +438,8 @@
 			return;
 		}
 		if (cause.isCausedByTarget()) {
-			this.router.onEndpointFailed(this.send.endpoint(), now);
-			cause.fault().ifPresent((kind) -> this.router.faults().recordFault(kind, endpointId, now));
+			this.router.results().onFailed(this.send.endpoint(), now);
+			this.router.results().onSendFailed(this.send.endpoint(), cause, now);
 			this.attempts.exclude(endpointId);
 		}
 		this.attempts.recordUnknownOutcome();
@@ -519,8 +481,7 @@
 		this.framer.dropPartialEvent();
 		this.attempts.recordRun(this.send.target());
 		boolean mayRunAgain = this.admitted.route().mayRunAgain()
-				&& (this.attempts.hasRunsLeft(this.admitted.route()) || this.callerResponse.isStreamStarted())
-				&& this.attempts.hasSendsLeft(this.callerResponse.isStreamStarted());
+				&& this.attempts.mayRepeat(this.admitted.route(), this.callerResponse.isStreamStarted());
 		if (mayRunAgain && this.router.tryTakeRetry(this.admitted.service(), now)) {
 			this.router.log().recordMove(id(), name, cause.name());
 			redispatch();
@@ -570,14 +531,13 @@
 	// until a path over all layers has capacity again.
 	private void suspend() {
 		endSend(-1);
-		this.suspended = true;
-		this.lastResumeAttemptNanos = System.nanoTime();
+		this.suspension.begin(System.nanoTime());
 		this.attempts.readmitAll();
 	}
 
 	// Looks for a path again. Takes a retry from the budget only once there is a path.
 	private void tryResume(long now) {
-		this.lastResumeAttemptNanos = now;
+		this.suspension.onAttempt(now);
 		Optional<Refusal> crashing = this.router.refusals().ofCrashing(this.suspicion.traits(), now);
 		if (crashing.isPresent()) {
 			refuse(crashing.get());
@@ -588,7 +548,7 @@
 		}
 		Optional<SendTarget> next = this.router.targets().choose(this.query, now).target();
 		if (next.isPresent() && this.router.tryTakeRetry(this.admitted.service(), now)) {
-			this.suspended = false;
+			this.suspension.end();
 			startSend(next.get(), now);
 		}
 	}
@@ -671,16 +631,15 @@
 	// Checks the deadline, resumes a suspended stream, and acts on silent endpoints.
 	// Called periodically.
 	void checkTimeouts(long nowNanos) {
-		if (this.finished || (!isSending() && !this.suspended)) {
+		if (this.finished || (!isSending() && !this.suspension.isActive())) {
 			return;
 		}
-		if (remainingMs(nowNanos) <= 0) {
+		if (this.deadline.isPast(nowNanos)) {
 			timeOut("deadline");
 			return;
 		}
-		if (this.suspended) {
-			boolean due = nowNanos - this.lastResumeAttemptNanos >= TimeUnit.MILLISECONDS.toNanos(RESUME_INTERVAL_MS);
-			if (due) {
+		if (this.suspension.isActive()) {
+			if (this.suspension.isAttemptDue(nowNanos)) {
 				tryResume(nowNanos);
 			}
 			return;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
@@ -104,15 +104,14 @@
 	 * Logs why no path was found: layers that no usable engine holds, or else a lack of
 	 * capacity.
 	 * @param requestId identity of the caller's attempt
-	 * @param engineCount number of usable engines
-	 * @param missingLayers the layers that none of them holds, as ranges
+	 * @param missing the usable engines and the layers that none of them holds
 	 * @param heldBackCount number of first stages that their limits exclude
 	 * @param nowNanos the current steady time in ns
 	 */
-	void recordMissingPath(String requestId, int engineCount, String missingLayers, int heldBackCount, long nowNanos) {
+	void recordMissingPath(String requestId, TargetSelector.MissingPath missing, int heldBackCount, long nowNanos) {
 		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
-		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engineCount, "missing_layers", missingLayers,
-				"limited_engines", heldBackCount, "loads_age_ms",
+		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", missing.engineCount(), "missing_layers",
+				missing.missingLayers(), "limited_engines", heldBackCount, "loads_age_ms",
 				TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos)), "peers", this.loads.peerCount());
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -99,6 +99,8 @@
 
 	private final Sender sender;
 
+	private final EndpointResults results;
+
 	private final RetryBudget retryBudget;
 
 	private final EntryMetrics metrics = new EntryMetrics();
@@ -161,6 +163,7 @@
 		this.refusals = new Refusals(this.targets, this.endpointLimits, this.crashBlame, this.log, random);
 		this.sender = new Sender(headers, this.pool, this.relays, this.loads, this.plainSelector, this.endpointLimits,
 				this.monitor, this.log);
+		this.results = new EndpointResults(directory, this.faults, this.plainSelector, this.log);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -268,6 +271,10 @@
 		return this.headers;
 	}
 
+	EndpointResults results() {
+		return this.results;
+	}
+
 	Sender sender() {
 		return this.sender;
 	}
@@ -572,28 +579,6 @@
 				nowNanos);
 	}
 
-	// Records that an endpoint failed a request.
-	void onEndpointFailed(Endpoint endpoint, long nowNanos) {
-		this.faults.recordResponse(endpoint.id(), true, nowNanos);
-		if (endpoint.layers().isEmpty()) {
-			this.plainSelector.recordFailure(endpoint.id(), nowNanos);
-			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
-		}
-	}
-
-	// Records a fault against the endpoint that caused a refusal; returns whether it is
-	// another endpoint than the one that the request was sent to.
-	boolean recordEndpointRefusal(Endpoint target, String faultyAddress, int status, long nowNanos) {
-		Endpoint faulty = this.directory.findUsableAt(target.service(), faultyAddress).orElse(target);
-		this.log.recordBlame(faulty, target, status);
-		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
-		if (faulty.layers().isEmpty()) {
-			this.plainSelector.recordFailure(faulty.id(), nowNanos);
-			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
-		}
-		return !faulty.id().equals(target.id());
-	}
-
 	// Trials show whether the fault is the endpoint's.
 	private void recordUnreachable(Endpoint endpoint, long nowNanos) {
 		this.faults.recordFault(FaultKind.UNREACHABLE, endpoint.id(), nowNanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendAttempts.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendAttempts.java
@@ -151,6 +151,17 @@
 		return counted < route.maxAttempts();
 	}
 
+	/**
+	 * Tells whether the request may be sent once more after a send with an unknown
+	 * outcome. The route's limit ends no stream that has started.
+	 * @param route the route of the request
+	 * @param streamStarted whether the caller has part of the response
+	 * @return whether it may
+	 */
+	boolean mayRepeat(Route route, boolean streamStarted) {
+		return (hasRunsLeft(route) || streamStarted) && hasSendsLeft(streamStarted);
+	}
+
 	/**
 	 * Tells whether an endpoint is not excluded.
 	 * @param endpoint the endpoint
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetSelector.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetSelector.java
@@ -195,13 +195,8 @@
 			.isPresent();
 	}
 
-	/**
-	 * Returns the engines of a service that may be stages of a path.
-	 * @param service name of the service
-	 * @param nowNanos the current steady time in ns
-	 * @return the engines that hold layers and are not avoided; may be empty
-	 */
-	List<Endpoint> usableEngines(String service, long nowNanos) {
+	// Returns the engines of a service that hold layers and are not avoided.
+	private List<Endpoint> usableEngines(String service, long nowNanos) {
 		List<Endpoint> usable = new ArrayList<>();
 		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
 			if (endpoint.layers().isPresent() && !this.faults.isAvoided(endpoint.id(), nowNanos)) {
@@ -212,13 +207,25 @@
 	}
 
 	/**
-	 * Returns the layers that no usable engine of a request's service holds.
+	 * Describes the engines of a request that has no path, for the log.
 	 * @param query the request, which is for an engine
-	 * @param engines the usable engines
-	 * @return the layers as ranges; empty if all are held
+	 * @param nowNanos the current steady time in ns
+	 * @return the number of usable engines and the layers that none of them holds
+	 */
+	MissingPath describeMissingPath(TargetQuery query, long nowNanos) {
+		List<Endpoint> engines = usableEngines(query.service(), nowNanos);
+		PathFinder finder = new PathFinder(query.admitted().engine().get(), this.loads, this.slowdowns);
+		return new MissingPath(engines.size(), finder.missingLayers(engines));
+	}
+
+	/**
+	 * The engines of a request that has no path.
+	 *
+	 * @param engineCount number of usable engines
+	 * @param missingLayers the layers that none of them holds, as ranges; empty if all
+	 * are held, so that capacity or an allowed first stage is missing
 	 */
-	String missingLayers(TargetQuery query, List<Endpoint> engines) {
-		return new PathFinder(query.admitted().engine().get(), this.loads, this.slowdowns).missingLayers(engines);
+	record MissingPath(int engineCount, String missingLayers) {
 	}
 
 }
