--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -37,7 +37,7 @@
 
 /**
  * State that all requests share: the configuration in force, the endpoints, the loads and
- * the retry budget. Admits requests, chooses endpoints for them and probes endpoints.
+ * the retry budget. Admits requests, and gives them the classes that decide about them.
  */
 public final class Router implements ReachMonitor.Listener, OwnReach {
 
