--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -1,23 +1,16 @@
 package org.comfreyslip.entry.http;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import org.comfreyslip.entry.EntryEvent;
-import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.EntrySettings;
 import org.comfreyslip.entry.blame.CrashBlame;
@@ -32,14 +25,10 @@
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
 import org.comfreyslip.entry.layers.LayerLoads;
-import org.comfreyslip.entry.layers.LayerPath;
-import org.comfreyslip.entry.layers.PathFinder;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.RequestLimits;
-import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.ServiceSpec;
-import org.comfreyslip.entry.model.SocketAddresses;
 import org.comfreyslip.entry.reach.EndpointReach;
 import org.comfreyslip.entry.reach.OwnReach;
 import org.comfreyslip.entry.reach.RelayPeer;
@@ -48,75 +37,16 @@
 
 /**
  * State that all requests share: the configuration in force, the endpoints, the loads and
- * the retry budget. Admits requests, chooses endpoints for them and probes endpoints.
+ * the retry budget. Admits requests, and gives them the classes that decide about them.
  */
 public final class Router implements ReachMonitor.Listener, OwnReach {
 
-	/**
-	 * Time after which a caller may retry when the API keys are stale, in ms: about the
-	 * time of one read that confirms them.
-	 */
-	static final long STALE_RETRY_MS = 400;
-
-	/**
-	 * Least time between two probes for one stream, in ms: the age of the engines'
-	 * reports.
-	 */
-	static final long PROBE_INTERVAL_MS = 200;
-
-	/**
-	 * Largest total size of the buffered request bodies, in bytes; a sixth of the memory
-	 * of the smallest process.
-	 */
-	private static final long MAX_BUFFERED_BYTES = 48L << 20;
-
-	/**
-	 * Largest total size of the responses that are buffered until they are complete, in
-	 * bytes, without {@link #MIN_RESPONSE_BYTES} of each.
-	 */
-	private static final long MAX_BUFFERED_RESPONSE_BYTES = 24L << 20;
-
-	/** Largest response that is buffered until it is complete, in bytes. */
-	private static final long MAX_RESPONSE_BYTES = 8L << 20;
-
-	/**
-	 * Size that each response may have however much the others take, in bytes.
-	 */
-	private static final long MIN_RESPONSE_BYTES = 64L << 10;
-
-	/** Largest part of the free buffer space that one response may take. */
-	private static final double RESPONSE_PART_OF_FREE = 0.25;
-
-	/**
-	 * Least time after which a caller may retry when capacity is missing, in ms: a
-	 * fraction of the duration of a stream.
-	 */
-	private static final long CAPACITY_RETRY_MS = 500;
-
 	/**
 	 * Number of daemons that share the retry budget until it is known; larger than
 	 * today's deployments.
 	 */
 	private static final int ASSUMED_DAEMONS = 12;
 
-	/**
-	 * Multiple of the latency target after which an idempotent request without a response
-	 * is sent to another endpoint.
-	 */
-	private static final int MAX_SILENT_LATENCY_TARGETS = 2;
-
-	/**
-	 * Share of the route's target for the gap between events after which a silent stream
-	 * is probed, in percent.
-	 */
-	private static final int GAP_LIMIT_PERCENT = 75;
-
-	/**
-	 * Gap between events after which a silent stream is probed on a route without a
-	 * target, in ms.
-	 */
-	private static final long DEFAULT_GAP_LIMIT_MS = 300;
-
 	/**
 	 * Time without an established connection after which the way to the endpoints is
 	 * checked, in ms: many round trips.
@@ -129,9 +59,6 @@
 	 */
 	private static final long SILENCE_MS = 300;
 
-	/** Largest number of parts of a prompt in a log line. */
-	private static final int MAX_LOGGED_PARTS = 8;
-
 	private EntrySettings settings;
 
 	private final HeaderTranslator headers;
@@ -166,21 +93,28 @@
 
 	private final LeastWaitSelector plainSelector;
 
+	private final TargetSelector targets;
+
+	private final Refusals refusals;
+
+	private final Sender sender;
+
+	private final EndpointResults results;
+
 	private final RetryBudget retryBudget;
 
 	private final EntryMetrics metrics = new EntryMetrics();
 
-	private final EngineControl engines;
+	private final RequestLog log;
+
+	private final StreamProbes probes;
 
-	private final RandomGenerator random;
+	private final BufferLimits buffers = new BufferLimits();
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
 	private final Set<Exchange> openExchanges = new HashSet<>();
 
-	/** Callbacks that wait for the report of an engine, by identity of the endpoint. */
-	private final Map<String, List<Consumer<Optional<EngineControl.Report>>>> pendingProbes = new HashMap<>();
-
 	private Configuration configuration;
 
 	private RouteTable routeTable;
@@ -193,12 +127,6 @@
 	/** Whether responses announce that their connection closes. */
 	private boolean stopping;
 
-	/** Total size of the request bodies that are buffered now. */
-	private long bufferedBytes;
-
-	/** Total size of the responses that are buffered now. */
-	private long bufferedResponseBytes;
-
 	/**
 	 * Creates a router that reads no requests until {@link #acceptRequests()}.
 	 * @param loop the event loop on which everything runs
@@ -217,18 +145,25 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.configurationFeed = configurationFeed;
-		this.engines = engines;
-		this.random = random;
 		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
+		this.log = new RequestLog(this.metrics, this.loads);
 		this.reachMonitor = new ReachMonitor(loop, directory, random, this);
 		this.pool = new EndpointPool(loop, (head) -> headers.readResponse(head), this.reachMonitor);
 		this.relays = new PeerRelays(loop, headers, settings.dataCentre(), this.reachMonitor.reach(), random);
 		this.monitor = new EndpointMonitor(loop, this::onConnectionRefused);
 		this.endpointLimits = new EndpointLimits(settings.name(), settings.dataCentre(), System.nanoTime());
+		this.probes = new StreamProbes(engines, directory, this.endpointLimits, this.slowdowns, this.log,
+				this::recordUnreachable);
 		this.crashBlame = new CrashBlame(settings.name(), System.nanoTime());
 		this.plainLoads = new PlainLoads(System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
+		this.targets = new TargetSelector(settings.dataCentre(), directory, this.faults, this.endpointLimits,
+				this.loads, this.slowdowns, this.plainSelector, this.reachMonitor.reach(), this.relays, random);
+		this.refusals = new Refusals(this.targets, this.endpointLimits, this.crashBlame, this.log, random);
+		this.sender = new Sender(headers, this.pool, this.relays, this.loads, this.plainSelector, this.endpointLimits,
+				this.monitor, this.log);
+		this.results = new EndpointResults(directory, this.faults, this.plainSelector, this.log);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
 	}
@@ -336,12 +271,32 @@
 		return this.headers;
 	}
 
-	EndpointPool pool() {
-		return this.pool;
+	EndpointResults results() {
+		return this.results;
+	}
+
+	Sender sender() {
+		return this.sender;
+	}
+
+	RequestLog log() {
+		return this.log;
+	}
+
+	TargetSelector targets() {
+		return this.targets;
+	}
+
+	Refusals refusals() {
+		return this.refusals;
 	}
 
-	LeastWaitSelector plainSelector() {
-		return this.plainSelector;
+	StreamProbes probes() {
+		return this.probes;
+	}
+
+	BufferLimits buffers() {
+		return this.buffers;
 	}
 
 	RequestLimits limits() {
@@ -390,18 +345,10 @@
 		return !lost && failedAt.isPresent() && reach.isProvenSince(failedAt.getAsLong());
 	}
 
-	boolean isLost(String service) {
+	private boolean isLost(String service) {
 		return this.reachMonitor.reach().isLost(service);
 	}
 
-	// Tells whether a request may be sent to an endpoint of a service: to any as long as
-	// the service is not lost, else only if one has started since.
-	boolean maySendDirectly(String service) {
-		EndpointReach reach = this.reachMonitor.reach();
-		return !reach.isLost(service) || reach.hasUntried(service,
-				this.directory.usableEndpoints(service).stream().map(Endpoint::id).toList());
-	}
-
 	long configurationVersion() {
 		return configuration().map(Configuration::version).orElse(-1L);
 	}
@@ -460,10 +407,6 @@
 		return (this.relays.tryTake()) ? Optional.empty() : Optional.of("too many requests of other daemons");
 	}
 
-	void recordRelay(EntryMetrics.Count count) {
-		this.metrics.increment(count);
-	}
-
 	/**
 	 * Applies the settings that may change while the daemon runs: the freshness of keys
 	 * and the retry budget.
@@ -545,10 +488,7 @@
 		for (ServiceSpec service : this.configuration.services().values()) {
 			boolean passedOn = isLost(service.name()) && this.relays.canPassOn(service.name(), System.nanoTime());
 			if (service.engine().isPresent() && !passedOn) {
-				boolean hasPath = new PathFinder(service.engine().get(), new LayerLoads(this.random), this.slowdowns)
-					.find(usableEngines(service.name(), System.nanoTime()), this.settings.dataCentre(), 1,
-							(first) -> true, System.nanoTime())
-					.isPresent();
+				boolean hasPath = this.targets.hasPath(service.name(), service.engine().get(), System.nanoTime());
 				if (!hasPath) {
 					return Optional.of("no path of " + service.name());
 				}
@@ -570,41 +510,6 @@
 		this.callers.remove(caller);
 	}
 
-	// Reserves memory for a part of a request body; returns false if the limit is
-	// reached.
-	boolean tryReserveBuffer(int bytes) {
-		if (this.bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
-			return false;
-		}
-		this.bufferedBytes += bytes;
-		return true;
-	}
-
-	void releaseBuffer(int bytes) {
-		this.bufferedBytes -= bytes;
-	}
-
-	// Reserves memory for the next bytes of a response; returns false if it may not grow
-	// any more. The limit falls as the buffer fills, so that responses without end leave
-	// room for the others.
-	boolean tryReserveResponse(int size, int nextBytes) {
-		long free = MAX_BUFFERED_RESPONSE_BYTES - this.bufferedResponseBytes;
-		long limit = Math.max(MIN_RESPONSE_BYTES, Math.min(MAX_RESPONSE_BYTES, (long) (RESPONSE_PART_OF_FREE * free)));
-		if (size + (long) nextBytes > limit) {
-			return false;
-		}
-		this.bufferedResponseBytes += nextBytes;
-		return true;
-	}
-
-	void releaseResponse(int bytes) {
-		this.bufferedResponseBytes -= bytes;
-	}
-
-	void logRejection(int status, String reason) {
-		EntryLog.write(EntryEvent.REQUEST_REJECTED, "unread", "status", status, "why", reason);
-	}
-
 	RequestAdmission.Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
 		return this.admission.admit(request, fields, this.configuration, this.routeTable,
 				this.configurationFeed.ageNanos(this.clock.nanos()));
@@ -616,87 +521,6 @@
 		return admitted.account().isEmpty() || areKeysFresh();
 	}
 
-	Optional<Endpoint> choosePlainEndpoint(String service, Collection<String> excluded, long nowNanos) {
-		List<Endpoint> candidates = this.directory.usableEndpoints(service)
-			.stream()
-			.filter((endpoint) -> this.endpointLimits.maySend(endpoint, nowNanos))
-			.toList();
-		return this.plainSelector.choose(candidates, excluded, this.settings.dataCentre(), nowNanos);
-	}
-
-	Optional<LayerPath> findPath(RequestAdmission.AdmittedRequest admitted, int tokens,
-			Predicate<Endpoint> allowedFirst, long nowNanos) {
-		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
-		return finder.find(usableEngines(admitted.service(), nowNanos), this.settings.dataCentre(), tokens,
-				allowedFirst.and((first) -> this.endpointLimits.maySend(first, nowNanos)), nowNanos);
-	}
-
-	// Returns the endpoints whose limits keep a request from being sent to them now.
-	List<Endpoint> heldBackEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
-			long nowNanos) {
-		if (!this.endpointLimits.isAnyInForce()) {
-			return List.of();
-		}
-		List<Endpoint> heldBack = new ArrayList<>(receivingEndpoints(admitted, allowed, nowNanos));
-		heldBack.removeIf((endpoint) -> this.endpointLimits.maySend(endpoint, nowNanos));
-		heldBack.forEach((endpoint) -> this.endpointLimits.recordHeldBack(endpoint.id()));
-		return heldBack;
-	}
-
-	// Returns the endpoints that a request may be sent to, apart from limits and loads:
-	// for streams those that hold the first layer.
-	private List<Endpoint> receivingEndpoints(RequestAdmission.AdmittedRequest admitted, Predicate<Endpoint> allowed,
-			long nowNanos) {
-		List<Endpoint> usable = (admitted.engine().isEmpty()) ? this.directory.usableEndpoints(admitted.service())
-				: usableEngines(admitted.service(), nowNanos);
-		return usable.stream()
-			.filter(allowed.and((one) -> one.layers().isEmpty() || one.layers().get().contains(0)))
-			.toList();
-	}
-
-	// Returns after what time a caller may retry a request that no endpoint takes now.
-	long retryAfterMs(RequestAdmission.AdmittedRequest admitted, List<Endpoint> heldBack, Predicate<Endpoint> allowed,
-			long nowNanos) {
-		boolean limited = !heldBack.isEmpty()
-				&& heldBack.size() == receivingEndpoints(admitted, allowed, nowNanos).size();
-		return (limited) ? this.endpointLimits.retryAfterMs(heldBack, this.random, nowNanos) : capacityRetryMs();
-	}
-
-	// Logs the path that a send takes, and what the search knew when it chose it.
-	void recordPath(String requestId, LayerPath path, long nowNanos) {
-		long loadsAgeMs = TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos));
-		this.metrics.record(EntryMetrics.Time.PEER_LOADS_AGE, loadsAgeMs);
-		int crossings = path.crossedLinks().size();
-		if (crossings > 0) {
-			this.metrics.increment(EntryMetrics.Count.PATHS_ACROSS_DATA_CENTRES);
-		}
-		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", crossings, "token_ms",
-				Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
-				this.loads.peerCount());
-	}
-
-	// Logs why no path was found: layers that no usable engine holds, or else a lack of
-	// capacity.
-	void recordMissingPath(String requestId, RequestAdmission.AdmittedRequest admitted, int heldBackCount,
-			long nowNanos) {
-		this.metrics.increment(EntryMetrics.Count.PATHS_MISSING);
-		PathFinder finder = new PathFinder(admitted.engine().get(), this.loads, this.slowdowns);
-		List<Endpoint> engines = usableEngines(admitted.service(), nowNanos);
-		EntryLog.write(EntryEvent.NO_PATH, requestId, "engines", engines.size(), "missing_layers",
-				finder.missingLayers(engines), "limited_engines", heldBackCount, "loads_age_ms",
-				TimeUnit.NANOSECONDS.toMillis(this.loads.peerLoadsAgeNanos(nowNanos)), "peers", this.loads.peerCount());
-	}
-
-	private List<Endpoint> usableEngines(String service, long nowNanos) {
-		List<Endpoint> usable = new ArrayList<>();
-		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
-			if (endpoint.layers().isPresent() && !this.faults.isAvoided(endpoint.id(), nowNanos)) {
-				usable.add(endpoint);
-			}
-		}
-		return usable;
-	}
-
 	// The endpoint's process has ended, or the way to it is cut.
 	private void onConnectionRefused(Endpoint endpoint, long nowNanos) {
 		this.faults.recordConnectionRefused(endpoint.id(), true, nowNanos);
@@ -707,7 +531,7 @@
 	// path.
 	@Override
 	public void onEnded(Endpoint endpoint, long nowNanos) {
-		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, endpoint.id(), "asked", "connection", "status", "refused");
+		this.log.recordEnded(endpoint);
 		boolean leaving = this.directory.findUsable(endpoint.id()).isEmpty();
 		this.faults.recordConnectionRefused(endpoint.id(), leaving, nowNanos);
 		if (!leaving) {
@@ -721,27 +545,12 @@
 		}
 	}
 
-	// Tells whether an endpoint's process ended unexpectedly. Endpoints that left as
-	// planned still count against the limits of routes, whether or not they have exited.
-	boolean hasEndpointFailed(String id) {
-		return this.faults.hasExitedUnexpectedly(id);
-	}
-
 	// Finds out whether an endpoint of a plain service, which is not monitored, has
 	// ended.
 	void checkWhetherEnded(Endpoint endpoint) {
 		this.monitor.checkOnce(endpoint);
 	}
 
-	void monitorPath(LayerPath path, long nowNanos) {
-		path.stages().forEach((stage) -> this.monitor.monitor(stage.endpoint(), nowNanos));
-	}
-
-	// Returns a random time between CAPACITY_RETRY_MS and twice as long.
-	long capacityRetryMs() {
-		return CAPACITY_RETRY_MS + (long) (this.random.nextDouble() * CAPACITY_RETRY_MS);
-	}
-
 	boolean hasRetryLeft(String service, long nowNanos) {
 		return this.retryBudget.hasRetryLeft(service, nowNanos);
 	}
@@ -750,28 +559,6 @@
 		return this.retryBudget.tryTakeRetry(service, nowNanos);
 	}
 
-	// Returns the time without a response after which an idempotent request to a plain
-	// service is sent to another endpoint, in ms.
-	long plainSilenceLimitMs(Route route) {
-		return MAX_SILENT_LATENCY_TARGETS * route.targetLatencyMs();
-	}
-
-	// Returns the time without events after which a stream that has started is probed, in
-	// ms.
-	long eventGapLimitMs(Route route) {
-		return (route.targetGapMs() > 0) ? GAP_LIMIT_PERCENT * route.targetGapMs() / 100 : DEFAULT_GAP_LIMIT_MS;
-	}
-
-	// Returns the mean gap between events above which a stream counts as slow, in ms.
-	long slowEventGapMs(Route route) {
-		return eventGapLimitMs(route) / 2;
-	}
-
-	// Returns the time without a first event after which a stream is probed, in ms.
-	long firstEventLimitMs(Route route) {
-		return Math.max(route.targetLatencyMs(), DEFAULT_GAP_LIMIT_MS);
-	}
-
 	void onRequestOpened(Exchange exchange, RequestAdmission.AdmittedRequest admitted) {
 		this.openExchanges.add(exchange);
 		this.metrics.increment(EntryMetrics.Count.REQUESTS);
@@ -783,18 +570,8 @@
 
 	void onRequestClosed(Exchange exchange, Outcome outcome, String reason) {
 		this.openExchanges.remove(exchange);
-		this.metrics.increment(outcome.count());
-		this.metrics.record(EntryMetrics.Time.REQUEST, exchange.ageMs());
-		EntryLog.write(EntryEvent.REQUEST_CLOSED, exchange.id(), "outcome", outcome, "why", reason, "detail",
-				exchange.describeSends(), "version", (this.configuration != null) ? this.configuration.version() : -1);
-	}
-
-	void onFirstEvent(long arrivalNanos, long nowNanos) {
-		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos));
-	}
-
-	void onSend(Endpoint endpoint) {
-		this.endpointLimits.recordSend(endpoint.id(), System.nanoTime());
+		this.log.recordClosed(exchange.id(), outcome, reason, exchange.ageMs(), exchange.describeSends(),
+				configurationVersion());
 	}
 
 	void onResponseHead(Endpoint endpoint, HeaderTranslator.ResponseFields fields, long sentAtNanos, long nowNanos) {
@@ -802,139 +579,12 @@
 				nowNanos);
 	}
 
-	// Logs that a send ended without a complete response.
-	void recordBrokenSend(String requestId, Endpoint endpoint, SendFailureCause cause, String progress,
-			List<String> promptParts, String digest) {
-		EntryLog.write(EntryEvent.SEND_BROKEN, requestId, "endpoint", endpoint.id(), "cause", cause, "progress",
-				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList(), "digest", digest);
-	}
-
-	// Returns after what time a request like this may be let through again, if such
-	// requests crash the endpoints that begin to answer them.
-	OptionalLong crashRefusalMs(Set<String> traits, long nowNanos) {
-		OptionalLong refusalMs = this.crashBlame.refusalMs(traits, nowNanos);
-		if (refusalMs.isPresent()) {
-			this.metrics.increment(EntryMetrics.Count.REFUSED_AS_CRASHING);
-		}
-		return refusalMs;
-	}
-
-	// Records the end of a send to a plain endpoint; the time is negative if there was no
-	// response, or one that reports a failure.
-	void onPlainEnd(Endpoint endpoint, long sentAtNanos, double tookMs) {
-		this.plainSelector.recordCompletion(endpoint.id(), sentAtNanos, tookMs, System.nanoTime());
-		if (tookMs >= 0) {
-			this.metrics.record(EntryMetrics.Time.PLAIN_RESPONSE, Math.round(tookMs));
-		}
-	}
-
-	// Records that an endpoint failed a request.
-	void onEndpointFailed(Endpoint endpoint, long nowNanos) {
-		this.faults.recordResponse(endpoint.id(), true, nowNanos);
-		if (endpoint.layers().isEmpty()) {
-			this.plainSelector.recordFailure(endpoint.id(), nowNanos);
-			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
-		}
-	}
-
-	void recordMove(String requestId, String endpoint, String reason) {
-		this.metrics.increment(EntryMetrics.Count.MOVED);
-		EntryLog.write(EntryEvent.REQUEST_MOVED, requestId, "endpoint", endpoint, "why", reason);
-	}
-
-	// Records a fault against the endpoint that caused a refusal; returns whether it is
-	// another endpoint than the one that the request was sent to.
-	boolean recordEndpointRefusal(Endpoint target, String faultyAddress, int status, long nowNanos) {
-		Endpoint faulty = findByAddress(target.service(), faultyAddress).orElse(target);
-		EntryLog.write(EntryEvent.ENDPOINT_BLAMED, faulty.id(), "asked", target.id(), "status", status);
-		this.metrics.increment(EntryMetrics.Count.ENDPOINTS_BLAMED);
-		this.faults.recordFault(FaultKind.DECLINED, faulty.id(), nowNanos);
-		if (faulty.layers().isEmpty()) {
-			this.plainSelector.recordFailure(faulty.id(), nowNanos);
-			this.metrics.increment(EntryMetrics.Count.PLAIN_FAILURES);
-		}
-		return !faulty.id().equals(target.id());
-	}
-
-	private Optional<Endpoint> findByAddress(String service, String address) {
-		for (Endpoint endpoint : this.directory.usableEndpoints(service)) {
-			if (SocketAddresses.text(endpoint.address()).equals(address)) {
-				return Optional.of(endpoint);
-			}
-		}
-		return Optional.empty();
-	}
-
-	// Probes the engines of a slow stream for their slowdown factors, as far as their
-	// limits allow.
-	void probeSlowStream(LayerPath path, long nowNanos) {
-		for (LayerPath.Stage stage : path.stages()) {
-			Endpoint endpoint = stage.endpoint();
-			if (this.endpointLimits.maySend(endpoint, nowNanos)
-					&& this.slowdowns.tryStartProbe(endpoint.id(), nowNanos)) {
-				fetchReport(endpoint, (report) -> report.ifPresent((engineReport) -> {
-					this.slowdowns.recordOwnReport(endpoint.id(), engineReport.slowdownFactor(), System.nanoTime());
-					if (engineReport.slowdownFactor() > EngineSlowdowns.SLOW_FACTOR) {
-						EntryLog.write(EntryEvent.ENGINE_SLOW, endpoint.id(), "pace", engineReport.slowdownFactor());
-					}
-				}));
-			}
-		}
-	}
-
-	// Probes the first endpoint of a stream's path for whether the stream waits for
-	// another endpoint. Streams with the same first endpoint share one probe.
-	void probeStream(Exchange exchange, Endpoint first, Consumer<ProbeResult> callback) {
-		Consumer<Optional<EngineControl.Report>> onReport = (report) -> callback
-			.accept(evaluateProbe(exchange, first, report));
-		List<Consumer<Optional<EngineControl.Report>>> waiting = this.pendingProbes.get(first.id());
-		if (waiting != null) {
-			waiting.add(onReport);
-			return;
-		}
-		if (!this.endpointLimits.maySend(first, System.nanoTime())) {
-			callback.accept(ProbeResult.HELD_BACK);
-			return;
-		}
-		this.pendingProbes.put(first.id(), new ArrayList<>(List.of(onReport)));
-		fetchReport(first, (report) -> this.pendingProbes.remove(first.id()).forEach((one) -> one.accept(report)));
-	}
-
-	private void fetchReport(Endpoint endpoint, Consumer<Optional<EngineControl.Report>> callback) {
-		onSend(endpoint);
-		this.metrics.increment(EntryMetrics.Count.REPORTS_FETCHED);
-		this.engines.fetchReport(endpoint, callback);
-	}
-
 	// Trials show whether the fault is the endpoint's.
 	private void recordUnreachable(Endpoint endpoint, long nowNanos) {
 		this.faults.recordFault(FaultKind.UNREACHABLE, endpoint.id(), nowNanos);
 		this.reachMonitor.doubt(endpoint.service(), nowNanos);
 	}
 
-	private ProbeResult evaluateProbe(Exchange exchange, Endpoint first, Optional<EngineControl.Report> report) {
-		long now = System.nanoTime();
-		ProbeResult result = ProbeResult.WORKING;
-		if (report.isEmpty()) {
-			recordUnreachable(first, now);
-			result = ProbeResult.UNREACHABLE;
-		}
-		else {
-			for (EngineControl.StalledRequest stalled : report.get().stalledRequests()) {
-				if (stalled.attemptId().equals(exchange.id())) {
-					findByAddress(first.service(), stalled.unresponsiveAddress())
-						.ifPresent((endpoint) -> recordUnreachable(endpoint, now));
-					boolean onPath = exchange.path()
-						.filter((path) -> path.usesLaterAddress(stalled.unresponsiveAddress()))
-						.isPresent();
-					result = (onPath) ? ProbeResult.STALLED : ProbeResult.STALLED_OFF_PATH;
-				}
-			}
-		}
-		EntryLog.write(EntryEvent.STREAM_INQUIRED, exchange.id(), "first", first.id(), "verdict", result);
-		return result;
-	}
-
 	/**
 	 * Checks the deadlines and the progress of all open requests. Called periodically.
 	 * @param nowNanos the current steady time in ns
@@ -961,38 +611,4 @@
 		this.monitor.updateConnections(nowNanos);
 	}
 
-	/** Result of a probe for a stream. */
-	enum ProbeResult {
-
-		/** The first endpoint reports no stall of the stream. */
-		WORKING(null),
-
-		/** The first endpoint's limit allows no probe now. */
-		HELD_BACK(null),
-
-		/** The stream waits for another endpoint of its path, which does not respond. */
-		STALLED(SendFailureCause.LATER_STAGE_LOST),
-
-		/** The stream waits for an endpoint that is no later stage of its path. */
-		STALLED_OFF_PATH(SendFailureCause.SILENT),
-
-		/** The first endpoint sent no report. */
-		UNREACHABLE(SendFailureCause.SILENT);
-
-		private final SendFailureCause failureCause;
-
-		ProbeResult(SendFailureCause failureCause) {
-			this.failureCause = failureCause;
-		}
-
-		/**
-		 * Returns why the send should end.
-		 * @return the cause; empty if it should not
-		 */
-		Optional<SendFailureCause> failureCause() {
-			return Optional.ofNullable(this.failureCause);
-		}
-
-	}
-
 }
