Read the messages of other daemons every 40 ms instead of one by one

A daemon with 77 others was woken for each of about 145 datagrams a second and looked for notices of crashes 20 times a second, each time with a list of all daemons. Most of the processor time of a daemon without requests went to these wake-ups: 0.034 of a core, sampled as system calls of the event loop.

The datagrams that have arrived are now read together, at the moment at which open requests are checked anyway. PeerExchangeTests, CrashingRequestTests, CrashingPromptPartTests, CutOffSoakTests, RelayedRequestTests, SharedCrashBlameTests and SharedStoreReadingTests pass.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/CrashNoticeSender.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/CrashNoticeSender.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.comfreyslip.entry.blame.CrashBlame;
@@ -15,7 +16,7 @@
  */
 public final class CrashNoticeSender {
 
-	/** Interval at which news are looked for, in ms. */
+	/** Longest interval at which news are looked for, in ms. */
 	public static final long INTERVAL_MS = 50;
 
 	/** Interval at which known causes are repeated, in ns. */
@@ -48,27 +49,30 @@
 	/**
 	 * Draws conclusions from what is known and returns what is to be sent now.
 	 * @param <T> type of the other daemons
-	 * @param targets all other daemons
+	 * @param targets returns all other daemons; asked only if there is something to send
 	 * @param nowNanos the current steady time in ns
 	 * @return the notices with their receivers; may be empty
 	 */
-	public <T> List<Outgoing<T>> update(List<T> targets, long nowNanos) {
+	public <T> List<Outgoing<T>> update(Supplier<List<T>> targets, long nowNanos) {
 		List<Outgoing<T>> outgoing = new ArrayList<>();
 		CrashNotice news = this.blame.update(nowNanos);
-		if (!news.isEmpty() && !targets.isEmpty()) {
-			outgoing.add(new Outgoing<>(news, targets));
+		if (!news.isEmpty()) {
+			outgoing.add(new Outgoing<>(news, targets.get()));
 		}
-		if (nowNanos - this.lastRepeatNanos >= REPEAT_NANOS && !targets.isEmpty()) {
+		if (nowNanos - this.lastRepeatNanos >= REPEAT_NANOS) {
 			this.lastRepeatNanos = nowNanos;
 			CrashNotice causes = this.blame.knownCauses(nowNanos);
 			if (!causes.isEmpty()) {
-				outgoing.add(new Outgoing<>(causes, some(targets)));
+				outgoing.add(new Outgoing<>(causes, some(targets.get())));
 			}
 		}
 		return outgoing;
 	}
 
 	private <T> List<T> some(List<T> targets) {
+		if (targets.isEmpty()) {
+			return List.of();
+		}
 		List<T> chosen = new ArrayList<>();
 		for (int index = 0; index < REPEAT_TARGETS; index++) {
 			chosen.add(targets.get(this.random.nextInt(targets.size())));
@@ -81,7 +85,7 @@
 	 *
 	 * @param <T> type of the other daemons
 	 * @param notice the notice
-	 * @param targets the daemons that it is sent to; not empty
+	 * @param targets the daemons that it is sent to; may be empty
 	 */
 	public record Outgoing<T>(CrashNotice notice, List<T> targets) {
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -51,6 +51,13 @@
 	/** Pause before a failed announcement is retried, in ms. */
 	private static final long ANNOUNCE_RETRY_MS = 700;
 
+	/**
+	 * Interval at which messages are read and notices of crashes are sent, in ms: short
+	 * against the interval of the messages. It is that of the checks of open requests, so
+	 * that both wake the process at the same moment.
+	 */
+	private static final long POLL_INTERVAL_MS = 40;
+
 	private final EventLoop loop;
 
 	private final String name;
@@ -175,12 +182,16 @@
 				(notice) -> this.blame.onNotice(notice, System.nanoTime()));
 		announce();
 		this.loop.schedule(this::sendRound, PeerSchedule.LOCAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(this::sendCrashNotices, CrashNoticeSender.INTERVAL_MS,
-				CrashNoticeSender.INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::exchangeNews, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void exchangeNews() {
+		this.socket.read();
+		sendCrashNotices();
 	}
 
 	private void sendCrashNotices() {
-		for (CrashNoticeSender.Outgoing<PeerTable.Target> outgoing : this.crashNotices.update(this.table.targets(),
+		for (CrashNoticeSender.Outgoing<PeerTable.Target> outgoing : this.crashNotices.update(this.table::targets,
 				System.nanoTime())) {
 			byte[] datagram = CrashNoticeCodec.encode(outgoing.notice());
 			outgoing.targets().forEach((target) -> this.socket.send(datagram, target.address()));
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -30,6 +30,9 @@
 	 */
 	private static final int RECEIVE_BUFFER_BYTES = 65_535;
 
+	/** Largest number of datagrams that are read at a time. */
+	private static final int DATAGRAMS_PER_READ = 64;
+
 	private final Channel channel;
 
 	/**
@@ -44,8 +47,15 @@
 			Consumer<RegistrationRelay> onRelay, Consumer<CrashNotice> onCrashNotice) {
 		this.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
-			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
+			.option(ChannelOption.RCVBUF_ALLOCATOR,
+					new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES).maxMessagesPerRead(DATAGRAMS_PER_READ))
+			.option(ChannelOption.AUTO_READ, false)
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+				@Override
+				public void channelReadComplete(ChannelHandlerContext ctx) {
+					ctx.channel().config().setAutoRead(false);
+				}
+
 				@Override
 				protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
 					byte[] bytes = new byte[packet.content().readableBytes()];
@@ -66,6 +76,14 @@
 			.channel();
 	}
 
+	/**
+	 * Reads the datagrams that have arrived. The process is not woken for each of them,
+	 * which would take most of the processor time of a daemon with many others.
+	 */
+	public void read() {
+		this.channel.config().setAutoRead(true);
+	}
+
 	/**
 	 * Sends a datagram. It may be lost, and is dropped while the socket is not open.
 	 * @param datagram the encoded message, which must not be changed afterwards
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/blame/CrashSimulation.java
@@ -470,8 +470,8 @@
 			if (!this.running || this.gone) {
 				return;
 			}
-			for (CrashNoticeSender.Outgoing<String> outgoing : this.sender.update(CrashSimulation.this.daemonNames,
-					nowNanos())) {
+			for (CrashNoticeSender.Outgoing<String> outgoing : this.sender
+				.update(() -> CrashSimulation.this.daemonNames, nowNanos())) {
 				byte[] datagram = CrashNoticeCodec.encode(outgoing.notice());
 				CrashNotice decoded = CrashNoticeCodec.decode(datagram).orElseThrow();
 				for (String target : outgoing.targets()) {
