Let a path search add costs by engine and number of layers

Cause: the search considers the expected time per token only, so that it cannot tell paths on which a prompt delays others. Change: PathFinder takes StageCosts; without them the added cost is 0. LayerPath states the added cost apart from the expected time.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPath.java
@@ -14,8 +14,24 @@
  * @param stages the stages in order of their layers; at least one
  * @param expectedTokenMs expected time per token, including the share of prompt
  * processing, in ms
+ * @param addedCostMs what the stages added to the cost of the path in the search, in ms
+ * per token; 0 if nothing
  */
-public record LayerPath(List<Stage> stages, double expectedTokenMs) {
+public record LayerPath(List<Stage> stages, double expectedTokenMs, double addedCostMs) {
+
+	/**
+	 * Creates a path without added cost.
+	 * @param stages the stages in order of their layers; at least one
+	 * @param expectedTokenMs expected time per token, in ms
+	 */
+	public LayerPath(List<Stage> stages, double expectedTokenMs) {
+		this(stages, expectedTokenMs, 0);
+	}
+
+	// Returns the cost by which paths are compared, in ms per token.
+	double costMs() {
+		return this.expectedTokenMs + this.addedCostMs;
+	}
 
 	/**
 	 * Returns the endpoint that the request is sent to.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -110,6 +110,24 @@
 	 */
 	public Optional<LayerPath> find(List<Endpoint> candidates, String dataCentre, int tokens,
 			Predicate<Endpoint> allowedFirst, long nowNanos) {
+		return find(candidates, dataCentre, tokens, allowedFirst, StageCosts.NONE, nowNanos);
+	}
+
+	/**
+	 * Finds the cheapest path with added costs. In rare cases a path is found with some
+	 * costs and none with others, since only the two cheapest ways to each boundary are
+	 * considered.
+	 * @param candidates endpoints that may be used; those without layers are skipped
+	 * @param dataCentre the daemon's data centre, which is preferred for the first stage
+	 * @param tokens tokens that the stream will hold at its end, prompt and response
+	 * @param allowedFirst tells which endpoints may serve the first stage
+	 * @param added the costs that stages add
+	 * @param nowNanos the current time in ns
+	 * @return the path; empty if no path through all layers has enough free memory, free
+	 * slots, room on its links and an allowed first stage
+	 */
+	public Optional<LayerPath> find(List<Endpoint> candidates, String dataCentre, int tokens,
+			Predicate<Endpoint> allowedFirst, StageCosts added, long nowNanos) {
 		Map<String, List<Endpoint>> byDataCentre = new TreeMap<>();
 		for (Endpoint candidate : candidates) {
 			byDataCentre.computeIfAbsent(candidate.dataCentre(), (name) -> new ArrayList<>()).add(candidate);
@@ -117,17 +135,18 @@
 		LayerPath cheapest = null;
 		double leastCostMs = Double.MAX_VALUE;
 		for (Map.Entry<String, List<Endpoint>> group : byDataCentre.entrySet()) {
-			Optional<LayerPath> found = new Search(group.getValue(), dataCentre, tokens, allowedFirst, nowNanos).run();
+			Optional<LayerPath> found = new Search(group.getValue(), dataCentre, tokens, allowedFirst, added, nowNanos)
+				.run();
 			double factor = (group.getKey().equals(dataCentre)) ? 1 : REMOTE_COST_FACTOR;
-			if (found.isPresent() && factor * found.get().expectedTokenMs() < leastCostMs) {
+			if (found.isPresent() && factor * found.get().costMs() < leastCostMs) {
 				cheapest = found.get();
-				leastCostMs = factor * cheapest.expectedTokenMs();
+				leastCostMs = factor * cheapest.costMs();
 			}
 		}
 		if (cheapest != null || byDataCentre.size() < 2) {
 			return Optional.ofNullable(cheapest);
 		}
-		return new Search(candidates, dataCentre, tokens, allowedFirst, nowNanos).run();
+		return new Search(candidates, dataCentre, tokens, allowedFirst, added, nowNanos).run();
 	}
 
 	/**
@@ -165,6 +184,8 @@
 
 		private final Predicate<Endpoint> allowedFirst;
 
+		private final StageCosts added;
+
 		/** Layers at which a range begins or ends, ascending; includes 0 and the end. */
 		private final int[] boundaries;
 
@@ -202,11 +223,12 @@
 		private final double[][] handoffMs;
 
 		Search(List<Endpoint> candidates, String dataCentre, int tokens, Predicate<Endpoint> allowedFirst,
-				long nowNanos) {
+				StageCosts added, long nowNanos) {
 			this.candidates = candidates;
 			this.dataCentre = dataCentre;
 			this.tokens = Math.max(1, tokens);
 			this.allowedFirst = allowedFirst;
+			this.added = added;
 			this.boundaries = boundaries();
 			this.best = new Arrival[this.boundaries.length][candidates.size()];
 			this.layerMs = new double[candidates.size()];
@@ -307,7 +329,8 @@
 				if (this.boundaries[next] > this.heldTo[index] || layers > this.availableLayers[index]) {
 					return;
 				}
-				double costMs = arrival.costMs() + layers * this.layerMs[index];
+				double costMs = arrival.costMs() + layers * this.layerMs[index]
+						+ this.added.costMs(this.candidates.get(index), layers);
 				if (this.best[next][index] == null || costMs < this.best[next][index].costMs()) {
 					this.best[next][index] = new Arrival(costMs, boundary, arrival.previousEndpoint(),
 							arrival.stageCount());
@@ -445,21 +468,25 @@
 					index = last;
 				}
 			}
-			double tokenMs = (index < 0) ? 0 : this.best[boundary][index].costMs();
+			double costMs = (index < 0) ? 0 : this.best[boundary][index].costMs();
+			double addedMs = 0;
 			Deque<LayerPath.Stage> stages = new ArrayDeque<>();
 			Set<String> usedEndpoints = new HashSet<>();
 			while (index >= 0) {
 				Arrival arrival = this.best[boundary][index];
 				int from = this.boundaries[arrival.startBoundary()];
 				Endpoint endpoint = this.candidates.get(index);
-				stages.addFirst(new LayerPath.Stage(endpoint, new LayerRange(from, this.boundaries[boundary])));
+				LayerRange layers = new LayerRange(from, this.boundaries[boundary]);
+				stages.addFirst(new LayerPath.Stage(endpoint, layers));
+				addedMs += this.added.costMs(endpoint, layers.size());
 				if (!usedEndpoints.add(endpoint.id())) {
 					return Optional.empty();
 				}
 				boundary = arrival.startBoundary();
 				index = arrival.previousEndpoint();
 			}
-			return (stages.isEmpty()) ? Optional.empty() : Optional.of(new LayerPath(new ArrayList<>(stages), tokenMs));
+			return (stages.isEmpty()) ? Optional.empty()
+					: Optional.of(new LayerPath(new ArrayList<>(stages), costMs - addedMs, addedMs));
 		}
 
 	}
