--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -154,6 +154,15 @@
 		/** Time from the arrival of a request to the first event of its stream. */
 		FIRST_EVENT,
 
+		/** The same, of streams over engines with prompts up to the mean length. */
+		FIRST_EVENT_UP_TO_MEAN,
+
+		/** The same, with longer prompts, up to twice the mean length. */
+		FIRST_EVENT_UP_TO_TWICE_MEAN,
+
+		/** The same, with prompts above twice the mean length. */
+		FIRST_EVENT_ABOVE_TWICE_MEAN,
+
 		/** Time from the arrival of a request to its final response. */
 		REQUEST,
 
