Choose paths of the daemon by the lengths of prompts

Cause: the classes that keep long prompts and short ones apart were not called by the daemon. Change: the search for a path goes through PromptPaths; Sender records sends and their ends, and Exchange the first event. Extension 5 is exchanged. Measured: EntryDaemonTests (44 tests) pass; without the record of the send, aPathOnWhichALongPromptWaitsHasAnAddedCost is red.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -25,6 +25,7 @@
 import org.comfreyslip.entry.peer.PeerExchange;
 import org.comfreyslip.entry.peer.PlainLoadsExtension;
 import org.comfreyslip.entry.peer.RegistrationRelay;
+import org.comfreyslip.entry.peer.WaitingPromptsExtension;
 
 /**
  * One entry daemon. It reads the topics of the store, takes part in the election of the
@@ -140,6 +141,7 @@
 				this.router.faults(), this.router.endpointLimits(), this.router.retryBudget(), this.router.crashBlame(),
 				this.router);
 		this.peers.addExtension(new PlainLoadsExtension(this.router.plainLoads(), System::nanoTime));
+		this.peers.addExtension(new WaitingPromptsExtension(this.router.waitingPrompts(), System::nanoTime));
 		this.router.setRelayPeers(() -> this.peers.table().relayPeers(this.clock.nanos()));
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
 				ports.engines(), this.leaderLease, this.clock::nanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -187,7 +187,7 @@
 	// that it took is in ms; negative if it does not count as a response time.
 	private void endSend(double tookMs) {
 		if (isSending()) {
-			this.router.sender().end(this.send.target(), this.send.startedAtNanos(), tookMs);
+			this.router.sender().end(this.send.target(), this, this.send.startedAtNanos(), tookMs);
 			this.send.end();
 		}
 	}
@@ -232,6 +232,9 @@
 	}
 
 	private void onEventsReceived(long now) {
+		if (!this.send.progress().hasBegun()) {
+			this.router.sender().onFirstEvent(this, now);
+		}
 		this.send.progress().onAnswer(now);
 		this.suspicion.onEvents(this.send.progress(), now);
 		if (isAtEndpoint()) {
@@ -254,7 +257,9 @@
 	// Sends the response head to the caller unless an earlier send of the stream did so.
 	private void startStreamIfNeeded() {
 		if (!this.callerResponse.isStreamStarted()) {
-			this.router.log().recordFirstEvent(this.callerRequest.arrivalNanos(), this.activity.lastProgressNanos());
+			this.router.log()
+				.recordFirstEvent(this.callerRequest.arrivalNanos(), this.send.target().prompt(),
+						this.activity.lastProgressNanos());
 			this.callerResponse.startStream(this.send.response().head());
 		}
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
@@ -1,6 +1,8 @@
 package org.comfreyslip.entry.http;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.EntryEvent;
@@ -9,6 +11,7 @@
 import org.comfreyslip.entry.layers.LayerLoads;
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.prompt.Prompt;
 
 /**
  * Writes the log lines of requests and counts what happens to them.
@@ -66,12 +69,16 @@
 	}
 
 	/**
-	 * Records the time to the first event of a stream.
+	 * Records the time to the first event of a stream, over engines also by the size of
+	 * its prompt.
 	 * @param arrivalNanos steady time in ns at which the request arrived
+	 * @param prompt the prompt; empty if the stream came from another daemon
 	 * @param nowNanos the current steady time in ns
 	 */
-	void recordFirstEvent(long arrivalNanos, long nowNanos) {
-		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos));
+	void recordFirstEvent(long arrivalNanos, Optional<Prompt> prompt, long nowNanos) {
+		long tookMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
+		this.metrics.record(EntryMetrics.Time.FIRST_EVENT, tookMs);
+		prompt.ifPresent((one) -> this.metrics.record(one.size().metric(), tookMs));
 	}
 
 	/**
@@ -95,9 +102,13 @@
 		if (crossings > 0) {
 			this.metrics.increment(EntryMetrics.Count.PATHS_ACROSS_DATA_CENTRES);
 		}
-		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, "path", path.describe(), "crossings", crossings, "token_ms",
+		List<Object> fields = new ArrayList<>(List.of("path", path.describe(), "crossings", crossings, "token_ms",
 				Math.round(path.expectedTokenMs() * 10) / 10.0, "loads_age_ms", loadsAgeMs, "peers",
-				this.loads.peerCount());
+				this.loads.peerCount()));
+		if (path.addedCostMs() > 0) {
+			fields.addAll(List.of("prompts_ms", Math.round(path.addedCostMs() * 100) / 100.0));
+		}
+		EntryLog.write(EntryEvent.PATH_CHOSEN, requestId, fields.toArray());
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -29,6 +29,8 @@
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.RequestLimits;
 import org.comfreyslip.entry.model.ServiceSpec;
+import org.comfreyslip.entry.prompt.PromptPaths;
+import org.comfreyslip.entry.prompt.WaitingPrompts;
 import org.comfreyslip.entry.reach.EndpointReach;
 import org.comfreyslip.entry.reach.OwnReach;
 import org.comfreyslip.entry.reach.RelayPeer;
@@ -89,6 +91,8 @@
 
 	private final EndpointMonitor monitor;
 
+	private final WaitingPrompts waitingPrompts = new WaitingPrompts();
+
 	private final PlainLoads plainLoads;
 
 	private final LeastWaitSelector plainSelector;
@@ -159,10 +163,11 @@
 		this.plainLoads = new PlainLoads(System.nanoTime());
 		this.plainSelector = new LeastWaitSelector(this.faults, this.plainLoads, random);
 		this.targets = new TargetSelector(settings.dataCentre(), directory, this.faults, this.endpointLimits,
-				this.loads, this.slowdowns, this.plainSelector, this.reachMonitor.reach(), this.relays, random);
+				this.loads, this.slowdowns, new PromptPaths(this.waitingPrompts), this.plainSelector,
+				this.reachMonitor.reach(), this.relays, random);
 		this.refusals = new Refusals(this.targets, this.endpointLimits, this.crashBlame, this.log, random);
-		this.sender = new Sender(headers, this.pool, this.relays, this.loads, this.plainSelector, this.endpointLimits,
-				this.monitor, this.log);
+		this.sender = new Sender(headers, this.pool, this.relays, this.loads, this.waitingPrompts, this.plainSelector,
+				this.endpointLimits, this.monitor, this.log);
 		this.results = new EndpointResults(directory, this.faults, this.plainSelector, this.log);
 		this.retryBudget = new RetryBudget(settings.retryRatio(), settings.retryConstant(),
 				settings.retryWindowSeconds(), ASSUMED_DAEMONS);
@@ -218,6 +223,14 @@
 		return this.loads;
 	}
 
+	/**
+	 * Returns the prompts that wait at engines.
+	 * @return the prompts, which sends update
+	 */
+	public WaitingPrompts waitingPrompts() {
+		return this.waitingPrompts;
+	}
+
 	/**
 	 * Returns the requests at the endpoints of plain services.
 	 * @return the loads, which requests update
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendTarget.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendTarget.java
@@ -4,6 +4,7 @@
 
 import org.comfreyslip.entry.layers.LayerPath;
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.prompt.Prompt;
 import org.comfreyslip.entry.reach.RelayPeer;
 
 /**
@@ -13,21 +14,24 @@
  * @param endpoint the endpoint; empty if the target is a daemon
  * @param path the path; empty for plain services and daemons
  * @param tokens number of tokens to reserve on the path; 0 without a path
+ * @param prompt the prompt; empty without a path
  * @param daemon the daemon that the request is passed on to; empty if the target is an
  * endpoint
  */
-record SendTarget(Optional<Endpoint> endpoint, Optional<LayerPath> path, int tokens, Optional<RelayPeer> daemon) {
+record SendTarget(Optional<Endpoint> endpoint, Optional<LayerPath> path, int tokens, Optional<Prompt> prompt,
+		Optional<RelayPeer> daemon) {
 
 	static SendTarget of(Endpoint endpoint) {
-		return new SendTarget(Optional.of(endpoint), Optional.empty(), 0, Optional.empty());
+		return new SendTarget(Optional.of(endpoint), Optional.empty(), 0, Optional.empty(), Optional.empty());
 	}
 
-	static SendTarget of(LayerPath path, int tokens) {
-		return new SendTarget(Optional.of(path.firstEndpoint()), Optional.of(path), tokens, Optional.empty());
+	static SendTarget of(LayerPath path, int tokens, Prompt prompt) {
+		return new SendTarget(Optional.of(path.firstEndpoint()), Optional.of(path), tokens, Optional.of(prompt),
+				Optional.empty());
 	}
 
 	static SendTarget of(RelayPeer daemon) {
-		return new SendTarget(Optional.empty(), Optional.empty(), 0, Optional.of(daemon));
+		return new SendTarget(Optional.empty(), Optional.empty(), 0, Optional.empty(), Optional.of(daemon));
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetQuery.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetQuery.java
@@ -1,7 +1,10 @@
 package org.comfreyslip.entry.http;
 
+import java.util.Optional;
+
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.EngineSpec;
+import org.comfreyslip.entry.prompt.Prompt;
 
 /**
  * What the choice of a target depends on for one request.
@@ -9,13 +12,16 @@
  * @param admitted the admitted request
  * @param tokens estimated number of tokens that the stream will hold at its end; 0 for
  * plain services
+ * @param prompt the prompt; empty for plain services
  * @param attempts the sends so far
  */
-record TargetQuery(RequestAdmission.AdmittedRequest admitted, int tokens, SendAttempts attempts) {
+record TargetQuery(RequestAdmission.AdmittedRequest admitted, int tokens, Optional<Prompt> prompt,
+		SendAttempts attempts) {
 
 	static TargetQuery of(RequestAdmission.AdmittedRequest admitted, HeaderTranslator.RequestFields fields,
 			SendAttempts attempts) {
 		return new TargetQuery(admitted, admitted.engine().map((engine) -> estimateTokens(engine, fields)).orElse(0),
+				admitted.engine().map((engine) -> Prompt.of(engine, admitted.route(), fields.promptTokens())),
 				attempts);
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetSelector.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/TargetSelector.java
@@ -19,6 +19,8 @@
 import org.comfreyslip.entry.layers.PathFinder;
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.EngineSpec;
+import org.comfreyslip.entry.prompt.Prompt;
+import org.comfreyslip.entry.prompt.PromptPaths;
 import org.comfreyslip.entry.reach.EndpointReach;
 
 /**
@@ -39,6 +41,8 @@
 
 	private final EngineSlowdowns slowdowns;
 
+	private final PromptPaths promptPaths;
+
 	private final LeastWaitSelector plainSelector;
 
 	private final EndpointReach reach;
@@ -55,20 +59,22 @@
 	 * @param limits the request rates that endpoints state as their limits
 	 * @param loads the loads of engines and links
 	 * @param slowdowns the slowdown factors of engines
+	 * @param promptPaths chooses paths by the lengths of prompts
 	 * @param plainSelector chooses among the endpoints of a plain service
 	 * @param reach which services can be reached from here
 	 * @param relays chooses among the other daemons
 	 * @param random source of random numbers
 	 */
 	TargetSelector(String dataCentre, EndpointDirectory directory, EndpointFaults faults, EndpointLimits limits,
-			LayerLoads loads, EngineSlowdowns slowdowns, LeastWaitSelector plainSelector, EndpointReach reach,
-			PeerRelays relays, RandomGenerator random) {
+			LayerLoads loads, EngineSlowdowns slowdowns, PromptPaths promptPaths, LeastWaitSelector plainSelector,
+			EndpointReach reach, PeerRelays relays, RandomGenerator random) {
 		this.dataCentre = dataCentre;
 		this.directory = directory;
 		this.faults = faults;
 		this.limits = limits;
 		this.loads = loads;
 		this.slowdowns = slowdowns;
+		this.promptPaths = promptPaths;
 		this.plainSelector = plainSelector;
 		this.reach = reach;
 		this.relays = relays;
@@ -102,7 +108,8 @@
 		if (!query.isForEngine()) {
 			return choosePlainEndpoint(query.service(), query.attempts().excluded(), nowNanos).map(SendTarget::of);
 		}
-		return findPath(query, query::mayBeFirstStage, nowNanos).map((path) -> SendTarget.of(path, query.tokens()));
+		return findPath(query, query::mayBeFirstStage, nowNanos)
+			.map((path) -> SendTarget.of(path, query.tokens(), query.prompt().get()));
 	}
 
 	private Optional<Endpoint> choosePlainEndpoint(String service, Collection<String> excluded, long nowNanos) {
@@ -114,9 +121,13 @@
 	}
 
 	private Optional<LayerPath> findPath(TargetQuery query, Predicate<Endpoint> allowedFirst, long nowNanos) {
-		PathFinder finder = new PathFinder(query.admitted().engine().get(), this.loads, this.slowdowns);
-		return finder.find(usableEngines(query.service(), nowNanos), this.dataCentre, query.tokens(),
-				allowedFirst.and((first) -> this.limits.maySend(first, nowNanos)), nowNanos);
+		Prompt prompt = query.prompt().get();
+		PathFinder finder = new PathFinder(prompt.engine(), this.loads, this.slowdowns);
+		List<Endpoint> engines = usableEngines(query.service(), nowNanos);
+		Predicate<Endpoint> mayBeFirst = allowedFirst.and((first) -> this.limits.maySend(first, nowNanos));
+		return this.promptPaths.find(prompt,
+				(costs) -> finder.find(engines, this.dataCentre, query.tokens(), mayBeFirst, costs, nowNanos),
+				nowNanos);
 	}
 
 	/**
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/PathFinderBenchmark.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/PathFinderBenchmark.java
@@ -16,6 +16,9 @@
 import org.comfreyslip.entry.model.Endpoint;
 import org.comfreyslip.entry.model.EngineSpec;
 import org.comfreyslip.entry.model.LayerRange;
+import org.comfreyslip.entry.prompt.Prompt;
+import org.comfreyslip.entry.prompt.PromptPaths;
+import org.comfreyslip.entry.prompt.WaitingPrompts;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -56,6 +59,10 @@
 
 	private PathFinder finder;
 
+	private PromptPaths promptPaths;
+
+	private Prompt prompt;
+
 	/** Builds the engines and the finder. */
 	@Setup
 	public void setUp() {
@@ -74,6 +81,10 @@
 			}
 		}
 		this.finder = new PathFinder(spec, new LayerLoads(random), new EngineSlowdowns());
+		WaitingPrompts waiting = new WaitingPrompts();
+		this.promptPaths = new PromptPaths(waiting);
+		this.prompt = new Prompt(spec, 700, 500, 250);
+		find().ifPresent((path) -> waiting.recordSend("long", new Prompt(spec, 2_000, 500, 250), path, 0));
 	}
 
 	/**
@@ -85,4 +96,14 @@
 		return this.finder.find(this.engines, "dc0", 939, (first) -> true, 0);
 	}
 
+	/**
+	 * Searches a path for a short prompt while a long one waits.
+	 * @return the path; empty if a layer is not held
+	 */
+	@Benchmark
+	public Optional<LayerPath> findBesideLongPrompt() {
+		return this.promptPaths.find(this.prompt,
+				(costs) -> this.finder.find(this.engines, "dc0", 939, (first) -> true, costs, 0), 0);
+	}
+
 }
