Give layers that depend on one engine a further replica

A layer that only one engine of a data centre held, or only engines with the same range, got no further replica before it was lost. Strengthening extends one engine of a data centre at a time over such layers while none is missing. The weights fit beside the engine's streams, the data centre carries as many streams as before (StreamCapacity), streams do not move to slower engines, and the order covers adjacent layers at risk completely or strengthens more layers than it costs. Ranges only grow and each order leaves fewer layers at risk, so that a plan comes to rest.

The case of most layers loses its known-red tag; the test of the fastest engines is named after its remaining case.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/GapRepair.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/GapRepair.java
@@ -36,10 +36,10 @@
 	 * Cost of an order, in layers loaded. The engine's batch stops while it begins the
 	 * order, and streams through released layers are broken off.
 	 */
-	private static final int ORDER_COST_LAYERS = 4;
+	static final int ORDER_COST_LAYERS = 4;
 
 	/** Factor on the step time up to which an engine replaces another one in full. */
-	private static final double EQUAL_STEP_FACTOR = 1.1;
+	static final double EQUAL_STEP_FACTOR = 1.1;
 
 	private final EngineSpec engine;
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LayerPlanner.java
@@ -64,19 +64,45 @@
 	 * @return the ranges to order, by identity of the endpoint; empty if nothing changes
 	 */
 	public static Map<String, LayerRange> plan(EngineSpec engine, List<EnginePlacement> placements) {
-		return planWithCauses(engine, placements).ranges();
+		LayerPlanner planner = new LayerPlanner(engine, placements);
+		planner.completePlan();
+		return planner.orders;
 	}
 
 	/**
-	 * Plans as {@link #plan} does, and tells why.
+	 * Plans one round: as {@link #plan} does, and if nothing is to be changed, gives
+	 * layers at risk one more replica.
 	 * @param engine the model engine: its layers, their size and the accelerator kinds
 	 * @param placements the current placements on hosts that are alive and not leaving
 	 * @return the ranges to order and their causes; empty if nothing changes
 	 */
-	static PlannedOrders planWithCauses(EngineSpec engine, List<EnginePlacement> placements) {
+	static PlannedOrders planRoundWithCauses(EngineSpec engine, List<EnginePlacement> placements) {
 		LayerPlanner planner = new LayerPlanner(engine, placements);
 		planner.completePlan();
-		return new PlannedOrders(planner.orders, planner.causes);
+		List<Strengthening> decisions = planner.groups.stream()
+			.map((group) -> new Strengthening(engine, group))
+			.toList();
+		if (planner.orders.isEmpty()) {
+			for (int index = 0; index < decisions.size(); index++) {
+				PlacementGroup group = planner.groups.get(index);
+				decisions.get(index)
+					.find()
+					.ifPresent((extension) -> planner.order(group, extension.placement(), extension.range(),
+							OrderCause.AT_RISK));
+			}
+		}
+		return new PlannedOrders(planner.orders, planner.causes,
+				decisions.stream().mapToInt(Strengthening::atRiskCount).sum());
+	}
+
+	/**
+	 * Plans one round as the daemon with the placement duty does.
+	 * @param engine the model engine: its layers, their size and the accelerator kinds
+	 * @param placements the current placements on hosts that are alive and not leaving
+	 * @return the ranges to order, by identity of the endpoint; empty if nothing changes
+	 */
+	public static Map<String, LayerRange> planRound(EngineSpec engine, List<EnginePlacement> placements) {
+		return planRoundWithCauses(engine, placements).ranges();
 	}
 
 	private void completePlan() {
@@ -285,8 +311,9 @@
 	 *
 	 * @param ranges the ranges to order, by identity of the endpoint
 	 * @param causes why they are ordered, by identity of the endpoint
+	 * @param layersAtRisk number of layers that were at risk before, in all groups
 	 */
-	record PlannedOrders(Map<String, LayerRange> ranges, Map<String, OrderCause> causes) {
+	record PlannedOrders(Map<String, LayerRange> ranges, Map<String, OrderCause> causes, int layersAtRisk) {
 	}
 
 	/** Why an engine is ordered to hold other layers. */
@@ -302,7 +329,10 @@
 		GAP_IN_GROUP,
 
 		/** It held far fewer layers than its memory is planned for. */
-		SMALL_RANGE
+		SMALL_RANGE,
+
+		/** One engine of its group, or only engines with one range, held some layers. */
+		AT_RISK
 
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PathFinder.java
@@ -72,7 +72,7 @@
 	 * Share of the KV cache memory that reservations may take; the rest covers streams
 	 * that hold more tokens than estimated.
 	 */
-	private static final double MAX_KV_CACHE_SHARE = 0.92;
+	static final double MAX_KV_CACHE_SHARE = 0.92;
 
 	/**
 	 * Share of the first stage's slots that may be taken; the rest covers streams that
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -173,7 +173,7 @@
 		if (isStillGrowing(placements, nowNanos)) {
 			return;
 		}
-		LayerPlanner.PlannedOrders orders = LayerPlanner.planWithCauses(engine, placements);
+		LayerPlanner.PlannedOrders orders = LayerPlanner.planRoundWithCauses(engine, placements);
 		logMissingLayers(service, engine, placements, orders.ranges().size());
 		logLayersWithoutReplica(service, engine, placements, suspected.size(), orders);
 		orders.causes().values().forEach(this.metrics::countOrder);
@@ -189,7 +189,7 @@
 			.flatMap((placement) -> placement.layers().stream())
 			.toList();
 		LayerCoverage coverage = new LayerCoverage(engine.layers(), ranges);
-		this.metrics.recordRound(coverage.missingCount(), suspectedCount);
+		this.metrics.recordRound(coverage.missingCount(), suspectedCount, orders.layersAtRisk());
 		String before = this.missingLayers.put(service, coverage.missing());
 		if (before != null && !before.equals(coverage.missing())) {
 			long repairs = orders.causes()
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementMetrics.java
@@ -16,6 +16,8 @@
 
 	private int suspectedEngines;
 
+	private int layersAtRisk;
+
 	/**
 	 * Counts an order that was planned.
 	 * @param cause why it was planned
@@ -28,10 +30,13 @@
 	 * Records what a planning round found.
 	 * @param missingLayers number of layers that no engine held or loaded
 	 * @param suspectedEngines number of engines that did not respond
+	 * @param layersAtRisk number of layers that the loss of one engine, or of engines
+	 * with one range, would have left without a replica in their data centre
 	 */
-	void recordRound(int missingLayers, int suspectedEngines) {
+	void recordRound(int missingLayers, int suspectedEngines, int layersAtRisk) {
 		this.missingLayers = missingLayers;
 		this.suspectedEngines = suspectedEngines;
+		this.layersAtRisk = layersAtRisk;
 	}
 
 	/**
@@ -48,6 +53,7 @@
 				.append('\n');
 		}
 		text.append("comfreyslip_layers_without_replica ").append(this.missingLayers).append('\n');
+		text.append("comfreyslip_layers_at_risk ").append(this.layersAtRisk).append('\n');
 		return text.append("comfreyslip_engines_suspected ").append(this.suspectedEngines).append('\n').toString();
 	}
 
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementReplayTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementReplayTests.java
@@ -55,15 +55,15 @@
 	private static final long MAX_GAP_MS = DETECTION_MS + ROUND_MS + 1_000;
 
 	@ParameterizedTest
-	@EnumSource(names = "RANDOM")
+	@EnumSource(names = { "RANDOM", "MOST_LAYERS" })
 	void noLayerIsWithoutAReplicaForLongWhenTwoGroupsOfEnginesAreLost(Loss loss) {
 		assertNoLayerIsWithoutAReplicaForLong(loss);
 	}
 
 	@Tag("known-red")
 	@ParameterizedTest
-	@EnumSource(names = { "MOST_LAYERS", "FASTEST" })
-	void noLayerIsWithoutAReplicaForLongWhenTheMostImportantEnginesAreLost(Loss loss) {
+	@EnumSource(names = "FASTEST")
+	void noLayerIsWithoutAReplicaForLongWhenTheFastestEnginesAreLost(Loss loss) {
 		assertNoLayerIsWithoutAReplicaForLong(loss);
 	}
 
@@ -87,6 +87,32 @@
 		assertThat(orders / 50.0).isLessThanOrEqualTo(8 + 4);
 	}
 
+	// Three engines hold layer 79, one in each data centre, and no others do. Without a
+	// further replica their loss stops all streams.
+	@Test
+	void lossOfTheEnginesThatShareTheLastLayerLeavesAPathAllTheTime() {
+		Replay replay = new Replay(Loss.RANDOM, 1);
+		for (String held : List.of("a-fast-0 0 28", "a-middle-0 28 42", "a-middle-1 42 56", "a-slow-0 56 64",
+				"a-slow-1 64 72", "a-slow-2 72 80", "a-slow-3 0 8", "a-small-0 8 14", "a-small-1 14 20",
+				"b-middle-0 0 16", "b-middle-1 16 32", "b-slow-0 32 42", "b-slow-1 42 52", "b-slow-2 52 62",
+				"b-small-0 62 69", "b-small-1 69 76", "b-small-2 73 80", "b-small-3 0 7", "c-fast-0 0 27",
+				"c-middle-0 27 41", "c-middle-1 41 55", "c-slow-0 55 63", "c-slow-1 63 71", "c-slow-2 71 79",
+				"c-small-0 75 80", "c-small-1 0 5", "c-small-2 5 10", "c-small-3 10 15")) {
+			String[] parts = held.split(" ");
+			Engine engine = replay.alive.get(parts[0]);
+			engine.held = new LayerRange(Integer.parseInt(parts[1]), Integer.parseInt(parts[2]));
+			replay.register(engine);
+		}
+		List<Engine> holders = replay.alive.values()
+			.stream()
+			.filter((engine) -> engine.held.contains(LAYERS - 1))
+			.toList();
+		assertThat(holders).extracting((engine) -> engine.dataCentre).containsExactlyInAnyOrder("a", "b", "c");
+		replay.at(FIRST_LOSS_MS, () -> replay.lose(holders));
+		replay.planAndPlay();
+		assertThat(replay.longestGapMs).isZero();
+	}
+
 	// This daemon's own network is the likelier cause then.
 	@Test
 	void nothingIsOrderedWhenMoreThanAThirdOfTheEnginesDoNotRespondForAMoment() {
@@ -212,8 +238,8 @@
 		}
 
 		void run() {
-			at(FIRST_LOSS_MS, this::lose);
-			at(SECOND_LOSS_MS, this::lose);
+			at(FIRST_LOSS_MS, this::loseSome);
+			at(SECOND_LOSS_MS, this::loseSome);
 			planAndPlay();
 		}
 
@@ -234,12 +260,16 @@
 			this.coordinator.planAndOrder(this.services, nowNanos(), nowNanos());
 		}
 
-		// Half of the engines end, the others go dark; registrations expire 2 s later.
-		private void lose() {
+		private void loseSome() {
 			List<Engine> all = new ArrayList<>(this.alive.values());
 			all.sort(Comparator.comparing((engine) -> engine.id));
+			lose(List.copyOf(this.loss.choose(all, this.random)));
+		}
+
+		// Half of the engines end, the others go dark; registrations expire 2 s later.
+		private void lose(List<Engine> engines) {
 			int number = 0;
-			for (Engine engine : List.copyOf(this.loss.choose(all, this.random))) {
+			for (Engine engine : engines) {
 				this.alive.remove(engine.id);
 				boolean dark = number % 2 == 1;
 				for (long afterMs = DETECTION_MS; afterMs < 2_000; afterMs += 300) {
--- a/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/LayerPlannerBenchmark.java
+++ b/comfreyslip-load/src/main/java/org/comfreyslip/load/jmh/LayerPlannerBenchmark.java
@@ -1,9 +1,11 @@
 package org.comfreyslip.load.jmh;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.layers.LayerPlanner;
@@ -68,22 +70,35 @@
 			this.placements = new ArrayList<>(this.placements.stream()
 				.map((one) -> new EnginePlacement(one.id(), one.dataCentre(), one.kind(),
 						Optional.ofNullable(orders.get(one.id())), false, 5))
-				.filter((one) -> this.situation == Situation.CALM || !overlaps(one.layers().orElseThrow()))
+				.filter((one) -> this.situation != Situation.GAP || !overlaps(one.layers().orElseThrow()))
 				.toList());
 		}
+		if (this.situation == Situation.AT_RISK) {
+			keepOneHolderOfTheLostLayers();
+		}
 	}
 
 	private static boolean overlaps(LayerRange range) {
 		return range.from() < LOST.to() && range.to() > LOST.from();
 	}
 
+	// Leaves one engine in each data centre that holds the layers.
+	private void keepOneHolderOfTheLostLayers() {
+		Set<String> covered = new HashSet<>();
+		this.placements.removeIf((one) -> {
+			LayerRange range = one.layers().orElseThrow();
+			boolean holdsAll = range.from() <= LOST.from() && range.to() >= LOST.to();
+			return overlaps(range) && !(holdsAll && covered.add(one.dataCentre()));
+		});
+	}
+
 	/**
 	 * Plans one round.
 	 * @return the orders
 	 */
 	@Benchmark
 	public Map<String, LayerRange> plan() {
-		return LayerPlanner.plan(this.spec, this.placements);
+		return LayerPlanner.planRound(this.spec, this.placements);
 	}
 
 	/** What a planning round finds. */
@@ -96,7 +111,10 @@
 		CALM,
 
 		/** All engines that held some layers are lost. */
-		GAP
+		GAP,
+
+		/** One engine of each data centre is left of those that held some layers. */
+		AT_RISK
 
 	}
 
