Send callers on at once whose keys only other daemons can confirm

A caller may now retry after 50 ms if another daemon of the data centre has stated a current position within the time for which keys are valid, else after 400 ms as before. A follower that lacks records which another daemon has reads at most 1 s after a failed read.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/FeedReader.java
@@ -37,6 +37,13 @@
 	/** Longest backoff of a follower, in ms. */
 	private static final long MAX_FOLLOWER_BACKOFF_MS = 4_000;
 
+	/**
+	 * Longest backoff of a follower that lacks records which another daemon has, in ms:
+	 * the store serves others and may turn away only this daemon, which refuses requests
+	 * meanwhile.
+	 */
+	private static final long MAX_BACKOFF_BEHIND_PEERS_MS = 1_000;
+
 	/** Interval at which a follower checks whether it has to read, in ms. */
 	private static final long FOLLOWER_CHECK_MS = 100;
 
@@ -188,7 +195,8 @@
 		if (!role.reads() && this.snapshotComplete) {
 			if (failed) {
 				this.followerFailedAtNanos = nowNanos;
-				this.followerPauseEndNanos = nowNanos + followerBackoffNanos(role);
+				this.followerPauseEndNanos = nowNanos
+						+ followerBackoffNanos(role, this.feed.isBehindPeers(0, nowNanos));
 			}
 			return (this.feed.isSnapshotting() && !failed) ? 0 : FOLLOWER_CHECK_MS;
 		}
@@ -200,9 +208,10 @@
 		return (this.feed.isSnapshotting() || update.records().isEmpty()) ? 0 : this.intervals.pauseMs();
 	}
 
-	private static long followerBackoffNanos(StoreReading role) {
-		return TimeUnit.MILLISECONDS.toNanos(Math.max(MAX_BACKOFF_MS,
-				Math.min(MAX_FOLLOWER_BACKOFF_MS, FOLLOWER_BACKOFF_MS_PER_PEER * role.localPeers())));
+	private static long followerBackoffNanos(StoreReading role, boolean behindPeers) {
+		long longestMs = (behindPeers) ? MAX_BACKOFF_BEHIND_PEERS_MS : MAX_FOLLOWER_BACKOFF_MS;
+		return TimeUnit.MILLISECONDS
+			.toNanos(Math.max(MAX_BACKOFF_MS, Math.min(longestMs, FOLLOWER_BACKOFF_MS_PER_PEER * role.localPeers())));
 	}
 
 	private void logAvailabilityChange(Outcome outcome, boolean wasFailing, long ageNanos) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/config/KeyedFeed.java
@@ -52,6 +52,12 @@
 	/** Elapsed time in ns since which this daemon has been behind that position. */
 	private long behindSinceNanos;
 
+	/** Whether another daemon of the data centre has confirmed its knowledge. */
+	private boolean confirmedNearby;
+
+	/** Latest elapsed time in ns at which such a daemon knew the topic to its end. */
+	private long confirmedNearbyAtNanos;
+
 	/**
 	 * Handles the outcome of the last read.
 	 * @param outcome the outcome
@@ -185,6 +191,29 @@
 		confirmedAtNanos.ifPresent((atNanos) -> onPeerConfirmation(position.era(), position.offset(), atNanos));
 	}
 
+	/**
+	 * Records that another daemon of the data centre knew the topic to its end, whether
+	 * or not this one does.
+	 * @param position the position that it stated; ignored if a further one is known
+	 * @param atNanos elapsed time of this daemon that is no later than that moment, in ns
+	 */
+	public void onConfirmationNearby(TopicPosition position, long atNanos) {
+		boolean current = !this.peerPosition.isBeyond(position);
+		if (current && (!this.confirmedNearby || atNanos - this.confirmedNearbyAtNanos > 0)) {
+			this.confirmedNearby = true;
+			this.confirmedNearbyAtNanos = atNanos;
+		}
+	}
+
+	/**
+	 * Returns the age of the best knowledge among the other daemons of the data centre.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return the age in ns; {@link Long#MAX_VALUE} if none has confirmed its knowledge
+	 */
+	public long ageNearbyNanos(long nowNanos) {
+		return (this.confirmedNearby) ? nowNanos - this.confirmedNearbyAtNanos : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Asks for a read of the topic to its end, as if another daemon had stated a further
 	 * position.
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -127,7 +127,7 @@
 
 	private Optional<Refusal> findObstacle(long now) {
 		if (!this.router.mayStillSend(this.admitted)) {
-			return Optional.of(this.router.refusals().ofStaleKeys());
+			return Optional.of(this.router.refusals().ofStaleKeys(this.router.staleRetryMs()));
 		}
 		return this.router.refusals().ofCrashing(this.suspicion.traits(), now);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Refusals.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Refusals.java
@@ -16,12 +16,6 @@
  */
 final class Refusals {
 
-	/**
-	 * Time after which a caller may retry when the API keys are stale, in ms: about the
-	 * time of one read that confirms them.
-	 */
-	static final long STALE_RETRY_MS = 400;
-
 	/**
 	 * Least time after which a caller may retry when capacity is missing, in ms: a
 	 * fraction of the duration of a stream.
@@ -57,10 +51,11 @@
 
 	/**
 	 * Returns the refusal while the API keys are stale.
+	 * @param retryMs time after which the caller may retry, in ms
 	 * @return the refusal
 	 */
-	Refusal ofStaleKeys() {
-		return Refusal.of(RefusalCause.STALE_KEYS, STALE_RETRY_MS);
+	Refusal ofStaleKeys(long retryMs) {
+		return Refusal.of(RefusalCause.STALE_KEYS, retryMs);
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestAdmission.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestAdmission.java
@@ -42,18 +42,20 @@
 	 * @param configuration the configuration in force, {@code null} before the first one
 	 * @param routeTable the routes of the configuration
 	 * @param ageNanos age of the configuration, in ns
+	 * @param staleRetryMs time after which a caller may retry whose route or key is not
+	 * known yet, in ms
 	 * @return the admitted request or the refusal
 	 */
 	Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields,
-			Configuration configuration, RouteTable routeTable, long ageNanos) {
+			Configuration configuration, RouteTable routeTable, long ageNanos, long staleRetryMs) {
 		if (configuration == null) {
 			return Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration yet", 1_000);
 		}
 		boolean certain = ageNanos < MAX_CERTAIN_AGE_NANOS;
 		Optional<Route> found = routeTable.find(request.host(), request.head().uri());
 		if (found.isEmpty()) {
-			return (certain) ? Admission.refuse(HttpResponseStatus.NOT_FOUND, "no such route", -1) : Admission
-				.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such route known yet", Refusals.STALE_RETRY_MS);
+			return (certain) ? Admission.refuse(HttpResponseStatus.NOT_FOUND, "no such route", -1)
+					: Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such route known yet", staleRetryMs);
 		}
 		Route route = found.get();
 		Optional<ClientAccount> account = Optional.empty();
@@ -63,7 +65,7 @@
 				return (certain || fields.apiKey().isEmpty())
 						? Admission.refuse(HttpResponseStatus.UNAUTHORIZED, "the API key is not valid", -1)
 						: Admission.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the API key is not known yet",
-								Refusals.STALE_RETRY_MS);
+								staleRetryMs);
 			}
 		}
 		ServiceSpec service = configuration.services().get(chooseService(route));
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -79,6 +79,8 @@
 
 	private final KeyedFeed configurationFeed;
 
+	private final KeyFreshness keyFreshness;
+
 	private final EndpointFaults faults = new EndpointFaults();
 
 	private final EndpointLimits endpointLimits;
@@ -149,6 +151,7 @@
 		this.clock = clock;
 		this.directory = directory;
 		this.configurationFeed = configurationFeed;
+		this.keyFreshness = new KeyFreshness(configurationFeed);
 		this.admission = new RequestAdmission(random);
 		this.loads = new LayerLoads(random);
 		this.log = new RequestLog(this.metrics, this.loads);
@@ -511,8 +514,11 @@
 	}
 
 	private boolean areKeysFresh() {
-		return this.settings.keyFreshnessMs().isEmpty() || this.configurationFeed
-			.ageNanos(this.clock.nanos()) < TimeUnit.MILLISECONDS.toNanos(this.settings.keyFreshnessMs().get());
+		return this.keyFreshness.areFresh(this.settings.keyFreshnessMs(), this.clock.nanos());
+	}
+
+	long staleRetryMs() {
+		return this.keyFreshness.staleRetryMs(this.settings.keyFreshnessMs(), this.clock.nanos());
 	}
 
 	void onCallerOpened(CallerConnection caller) {
@@ -525,7 +531,7 @@
 
 	RequestAdmission.Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
 		return this.admission.admit(request, fields, this.configuration, this.routeTable,
-				this.configurationFeed.ageNanos(this.clock.nanos()));
+				this.configurationFeed.ageNanos(this.clock.nanos()), staleRetryMs());
 	}
 
 	// Checks again just before a send whether the API keys are fresh enough to accept the
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -290,8 +290,12 @@
 		}
 		long now = this.elapsedNanos.getAsLong();
 		this.table.onMessage(message, from, now);
-		this.configurationFeed.onPeerPosition(message.configuration(),
-				message.confirmedAtNanos(message.configuration(), now), now);
+		OptionalLong confirmedAtNanos = message.confirmedAtNanos(message.configuration(), now);
+		this.configurationFeed.onPeerPosition(message.configuration(), confirmedAtNanos, now);
+		if (message.dataCentre().equals(this.dataCentre)) {
+			confirmedAtNanos
+				.ifPresent((atNanos) -> this.configurationFeed.onConfirmationNearby(message.configuration(), atNanos));
+		}
 		this.registrationsFeed.onPeerPosition(message.registrations(),
 				message.confirmedAtNanos(message.registrations(), now), now);
 		this.extensions.forEach((one) -> one.onContent(message.sender(), message.dataCentre(),
