Validate a text before it is proposed

check finds the faults of a text, but not entries that have no effect, and the differences needed a second call.

--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Subcommands.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/Subcommands.java
@@ -9,9 +9,9 @@
 final class Subcommands {
 
 	static final List<Subcommand> ALL = List.of(new ProposeSubcommand(), new DrainSubcommand(), new CheckSubcommand(),
-			new DiffSubcommand(), new WaitSubcommand(), new ShowSubcommand(), new HistorySubcommand(),
-			new StatusSubcommand(), new ExplainSubcommand(), new ImpactSubcommand(), new HashCredentialSubcommand(),
-			new CompletionSubcommand());
+			new ValidateSubcommand(), new DiffSubcommand(), new WaitSubcommand(), new ShowSubcommand(),
+			new HistorySubcommand(), new StatusSubcommand(), new ExplainSubcommand(), new ImpactSubcommand(),
+			new HashCredentialSubcommand(), new CompletionSubcommand());
 
 	private Subcommands() {
 	}
