Bound the sends to an endpoint that plans count

Reports that are ten times too high, and chance bursts before few daemons, made the measured sends look larger than any plan allows. The plan then gave the slowest of three endpoints more than 1 in 100 requests (2.2 to 2.6 with wrong reports, 2.4 with 7 daemons), which sets p99. The sends to an endpoint now count up to the rate at which one more costs as much as at the dearest other endpoint, or five times its service time. exp and pow are those of StrictMath, so that replays are the same on every processor.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointSpeeds.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointSpeeds.java
@@ -93,7 +93,7 @@
 		if (last == null) {
 			return INITIAL_TIME_MS;
 		}
-		double weight = Math.pow(0.5, (nowNanos - last.atNanos()) / HALF_MEMORY_NANOS);
+		double weight = StrictMath.pow(0.5, (nowNanos - last.atNanos()) / HALF_MEMORY_NANOS);
 		return Math.min(last.ms(), INITIAL_TIME_MS + weight * (last.ms() - INITIAL_TIME_MS));
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainLoads.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainLoads.java
@@ -223,7 +223,7 @@
 		}
 
 		private double decay(double windowMs, long nowNanos) {
-			return Math.exp(-Math.max(0, nowNanos - this.updatedAtNanos) / 1e6 / windowMs);
+			return StrictMath.exp(-Math.max(0, nowNanos - this.updatedAtNanos) / 1e6 / windowMs);
 		}
 
 		void advance(long nowNanos) {
@@ -260,11 +260,11 @@
 	private record Report(String dataCentre, Map<String, Figures> figures, long receivedAtNanos) {
 
 		double weight(long nowNanos) {
-			return Math.pow(0.5, (nowNanos - this.receivedAtNanos) / HALF_WEIGHT_NANOS);
+			return StrictMath.pow(0.5, (nowNanos - this.receivedAtNanos) / HALF_WEIGHT_NANOS);
 		}
 
 		double timesWeight(long nowNanos) {
-			return Math.pow(0.5, (nowNanos - this.receivedAtNanos) / HALF_TIMES_WEIGHT_NANOS);
+			return StrictMath.pow(0.5, (nowNanos - this.receivedAtNanos) / HALF_TIMES_WEIGHT_NANOS);
 		}
 
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainShares.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainShares.java
@@ -36,6 +36,9 @@
 	 */
 	private static final double REMOTE_COST_MS = 2.5;
 
+	/** Factor by which the speeds of endpoints differ in the load that is addressed. */
+	private static final double SPEED_SPREAD = 5;
+
 	/** Cost added for an endpoint that fails often or is avoided, in ms. */
 	private static final double DISTRUSTED_COST_MS = 1e9;
 
@@ -58,7 +61,7 @@
 		int[] slots = new int[count];
 		double[] serviceMs = new double[count];
 		double[] fixedMs = new double[count];
-		double sendsPerMs = 0;
+		double[] sentPerMs = new double[count];
 		for (int index = 0; index < count; index++) {
 			Endpoint endpoint = candidates.get(index);
 			ids[index] = endpoint.id();
@@ -68,9 +71,10 @@
 			if (speeds.isDistrusted(ids[index], nowNanos) || faults.isAvoided(ids[index], nowNanos)) {
 				fixedMs[index] += DISTRUSTED_COST_MS;
 			}
-			sendsPerMs += speeds.sendsPerMs(endpoint, serviceMs[index], nowNanos);
+			sentPerMs[index] = speeds.sendsPerMs(endpoint, serviceMs[index], nowNanos);
 		}
 		int parts = Math.max(MIN_PARTS, Math.min(MAX_PARTS, PARTS_PER_ENDPOINT * count));
+		double sendsPerMs = credible(sentPerMs, slots, serviceMs, fixedMs);
 		double part = Math.max(sendsPerMs, 1e-6) / parts;
 		double[] rates = distribute(parts, part, slots, serviceMs, fixedMs);
 		double[] shares = new double[count];
@@ -80,6 +84,25 @@
 		return new PlainShares(ids, shares, nowNanos);
 	}
 
+	// Returns the sum of the sends, in requests per ms. A plan moves requests away from
+	// an
+	// endpoint before one more costs more there than at all others. Sends beyond that are
+	// wrong reports or from before a change of speed, and do not count.
+	private static double credible(double[] sentPerMs, int[] slots, double[] serviceMs, double[] fixedMs) {
+		double sum = 0;
+		for (int index = 0; index < slots.length; index++) {
+			double dearestMs = SPEED_SPREAD * serviceMs[index];
+			for (int other = 0; other < slots.length; other++) {
+				if (other != index && fixedMs[other] < DISTRUSTED_COST_MS) {
+					double otherMs = QueueModel.addedMs(sentPerMs[other], slots[other], serviceMs[other]);
+					dearestMs = Math.max(dearestMs, fixedMs[other] + otherMs);
+				}
+			}
+			sum += Math.min(sentPerMs[index], QueueModel.ratePerMs(dearestMs, slots[index], serviceMs[index]));
+		}
+		return sum;
+	}
+
 	// Returns the requests per ms that each endpoint gets.
 	private static double[] distribute(int parts, double part, int[] slots, double[] serviceMs, double[] fixedMs) {
 		double[] rates = new double[slots.length];
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/QueueModel.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/QueueModel.java
@@ -37,7 +37,24 @@
 		}
 		double exponent = exponent(slots);
 		double free = 1 - use;
-		return serviceMs * (1 + Math.pow(use, exponent) * ((exponent + 1) * free + use) / (slots * free * free));
+		return serviceMs * (1 + StrictMath.pow(use, exponent) * ((exponent + 1) * free + use) / (slots * free * free));
+	}
+
+	// Returns the rate in requests per ms at which one more request adds a time in ms to
+	// the time of all; at most what the slots can serve.
+	static double ratePerMs(double addedMs, int slots, double serviceMs) {
+		double low = 0;
+		double high = 1;
+		for (int halving = 0; halving < HALVINGS; halving++) {
+			double use = (low + high) / 2;
+			if (addedMs(use * slots / serviceMs, slots, serviceMs) < addedMs) {
+				low = use;
+			}
+			else {
+				high = use;
+			}
+		}
+		return high * slots / serviceMs;
 	}
 
 	// Returns the part of the response time that is not spent waiting, where a number of
@@ -54,7 +71,7 @@
 		double high = 1;
 		for (int halving = 0; halving < HALVINGS; halving++) {
 			double use = (low + high) / 2;
-			double presentAtUse = use * slots * (1 + Math.pow(use, exponent) / (slots * (1 - use)));
+			double presentAtUse = use * slots * (1 + StrictMath.pow(use, exponent) / (slots * (1 - use)));
 			if (presentAtUse < present) {
 				low = use;
 			}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/UnevenEndpointTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/UnevenEndpointTests.java
@@ -27,7 +27,6 @@
 		assertTimeIsCloseToExact(daemons, endpoints, use);
 	}
 
-	@Tag("known-red")
 	@ParameterizedTest
 	@CsvSource("7,3,0.7")
 	void theTimeInTheServiceIsCloseToThatWithExactLoadsForFewDaemonsUnderLoad(int daemons, int endpoints, double use) {
@@ -85,7 +84,6 @@
 		assertMisreportIsBounded(daemons, endpoints, factor);
 	}
 
-	@Tag("known-red")
 	@ParameterizedTest
 	@CsvSource({ "7,3,10", "128,3,10" })
 	void loadsMisreportedAsTenTimesHaveABoundedEffectOnThreeEndpoints(int daemons, int endpoints, double factor) {
