--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainShares.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/PlainShares.java
@@ -85,9 +85,8 @@
 	}
 
 	// Returns the sum of the sends, in requests per ms. A plan moves requests away from
-	// an
-	// endpoint before one more costs more there than at all others. Sends beyond that are
-	// wrong reports or from before a change of speed, and do not count.
+	// an endpoint before one more costs more there than at all others. Sends beyond that
+	// are wrong reports or from before a change of speed, and do not count.
 	private static double credible(double[] sentPerMs, int[] slots, double[] serviceMs, double[] fixedMs) {
 		double sum = 0;
 		for (int index = 0; index < slots.length; index++) {
