Send and receive what daemons tell of the holder of the placement duty

The notice of the holder to its standbys (first byte 4) and extension 1 of the periodic messages were defined, but nothing sent or received them.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -22,6 +22,7 @@
 import org.comfreyslip.entry.config.ReadIntervals;
 import org.comfreyslip.entry.config.StoreReading;
 import org.comfreyslip.entry.config.TopicPosition;
+import org.comfreyslip.entry.duty.DutyNotice;
 import org.comfreyslip.entry.fleet.EndpointFaults;
 import org.comfreyslip.entry.fleet.EndpointLimits;
 import org.comfreyslip.entry.layers.EngineSlowdowns;
@@ -48,6 +49,9 @@
 	 */
 	public static final ReadIntervals REGISTRATION_INTERVALS = new ReadIntervals(1_500, 700, 700, 1_600, false);
 
+	/** Time for the first message of another daemon after its interval, in ms. */
+	private static final long FIRST_MESSAGE_MARGIN_MS = 1_000;
+
 	/** Pause before a failed announcement is retried, in ms. */
 	private static final long ANNOUNCE_RETRY_MS = 700;
 
@@ -99,6 +103,9 @@
 	private Consumer<RegistrationRelay> onRelay = (relay) -> {
 	};
 
+	private Consumer<DutyNotice> onDutyNotice = (notice) -> {
+	};
+
 	private PeerSocket socket;
 
 	private StoreReading storeReading = StoreReading.ALONE;
@@ -112,6 +119,9 @@
 	/** Whether the store has acknowledged an announcement. */
 	private boolean announced;
 
+	/** Elapsed time in ns at which the announcements were read first; empty before. */
+	private OptionalLong announcementsReadNanos = OptionalLong.empty();
+
 	/** Elapsed time in ns of the last round. */
 	private long lastRoundNanos;
 
@@ -168,6 +178,59 @@
 		this.onRelay = action;
 	}
 
+	/**
+	 * Sets what is done with a notice of the holder of the placement duty.
+	 * @param action takes each notice
+	 */
+	public void setOnDutyNotice(Consumer<DutyNotice> action) {
+		this.onDutyNotice = action;
+	}
+
+	/**
+	 * Reads the datagrams that have arrived, between two of the regular reads. They are
+	 * handled after the present task of the event loop.
+	 */
+	public void readDatagrams() {
+		this.socket.read();
+	}
+
+	/**
+	 * Sends a datagram to a daemon. Nothing is sent to one whose address is not known.
+	 * @param datagram the encoded datagram, which must not be changed afterwards
+	 * @param receiver name of the daemon
+	 */
+	public void send(byte[] datagram, String receiver) {
+		this.table.address(receiver).ifPresent((to) -> this.socket.send(datagram, to));
+	}
+
+	/**
+	 * Tells whether this daemon reaches the store and the engines and is not stopping, as
+	 * it states in its messages.
+	 * @return whether it does
+	 */
+	public boolean isStoreReachable() {
+		return !this.stopping && !this.reach.isCutOffFromEngines() && !this.configurationFeed.isStoreUnavailable()
+				&& !this.registrationsFeed.isStoreUnavailable();
+	}
+
+	/**
+	 * Tells whether this daemon has read the announcements of the others and has heard
+	 * from one of them, if there are any. A daemon whose announced peers have all ended
+	 * hears from none, and waits as long as a peer may be silent.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return whether the absence of a daemon in the table says something
+	 */
+	public boolean knowsPeers(long nowNanos) {
+		if (this.announcementsReadNanos.isEmpty()) {
+			return false;
+		}
+		int others = this.table.targets().size();
+		long silentNanos = TimeUnit.MILLISECONDS
+			.toNanos(PeerSchedule.remoteIntervalMs(others) + FIRST_MESSAGE_MARGIN_MS);
+		return others == 0 || this.table.hasHeardFromAny()
+				|| nowNanos - this.announcementsReadNanos.getAsLong() >= silentNanos;
+	}
+
 	/**
 	 * Adds a block to the messages. Must be called before {@link #start()}.
 	 * @param extension the part of the daemon that writes and reads the block
@@ -179,7 +242,8 @@
 	/** Opens the socket and starts the exchange. Must be called on the event loop. */
 	public void start() {
 		this.socket = new PeerSocket(this.loop, this.address, this::onMessage, (relay) -> this.onRelay.accept(relay),
-				(notice) -> this.blame.onNotice(notice, System.nanoTime()));
+				(notice) -> this.blame.onNotice(notice, System.nanoTime()),
+				(notice) -> this.onDutyNotice.accept(notice));
 		announce();
 		this.loop.schedule(this::sendRound, PeerSchedule.LOCAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::exchangeNews, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -273,6 +337,9 @@
 			// The store has gone back to a copy from before the announcement.
 			announce();
 		}
+		if (this.announcementsReadNanos.isEmpty()) {
+			this.announcementsReadNanos = OptionalLong.of(this.elapsedNanos.getAsLong());
+		}
 		// The daemons that are new here do not know this one either.
 		this.nextRemoteRoundNanos = this.elapsedNanos.getAsLong();
 		for (KeyedRecord keyed : update.records()) {
@@ -323,8 +390,7 @@
 		this.limits.setPeers(livePeers, wasSilent, PeerSchedule.settlingNanos(targets.size()), System.nanoTime());
 		// The reader of a data centre also stands for election as the leader, who has to
 		// reach engines.
-		boolean storeReachable = !this.stopping && !this.reach.isCutOffFromEngines()
-				&& !this.configurationFeed.isStoreUnavailable() && !this.registrationsFeed.isStoreUnavailable();
+		boolean storeReachable = isStoreReachable();
 		updateStoreReading(storeReachable, now);
 		List<String> unreachable = this.faults.locallyObservedFaults(System.nanoTime())
 			.stream()
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerSocket.java
@@ -17,6 +17,7 @@
 import org.comfreyslip.entry.EntryEvent;
 import org.comfreyslip.entry.EntryLog;
 import org.comfreyslip.entry.blame.CrashNotice;
+import org.comfreyslip.entry.duty.DutyNotice;
 
 /**
  * UDP socket for the messages between daemons. Datagrams that are not messages are
@@ -42,9 +43,12 @@
 	 * @param onMessage receives each message with the address of its sender
 	 * @param onRelay receives the registrations that other daemons pass on
 	 * @param onCrashNotice receives what other daemons tell of crashes
+	 * @param onDutyNotice receives what the holder of the placement duty tells its
+	 * standbys
 	 */
 	public PeerSocket(EventLoop loop, InetSocketAddress address, BiConsumer<PeerMessage, InetSocketAddress> onMessage,
-			Consumer<RegistrationRelay> onRelay, Consumer<CrashNotice> onCrashNotice) {
+			Consumer<RegistrationRelay> onRelay, Consumer<CrashNotice> onCrashNotice,
+			Consumer<DutyNotice> onDutyNotice) {
 		this.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
 			.option(ChannelOption.RCVBUF_ALLOCATOR,
@@ -64,7 +68,9 @@
 						.ifPresentOrElse((message) -> onMessage.accept(message, packet.sender()),
 								() -> RegistrationRelay.decode(bytes)
 									.ifPresentOrElse(onRelay,
-											() -> CrashNoticeCodec.decode(bytes).ifPresent(onCrashNotice)));
+											() -> CrashNoticeCodec.decode(bytes)
+												.ifPresentOrElse(onCrashNotice,
+														() -> DutyNotice.decode(bytes).ifPresent(onDutyNotice))));
 				}
 
 				@Override
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.comfreyslip.entry.layers.LayerLoads.Load;
@@ -98,6 +99,35 @@
 		return live;
 	}
 
+	/**
+	 * Returns the daemons that sent a message recently, by what they reach.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return by the name of each daemon, without this one, whether it reaches the store
+	 * and the engines, as of its last message
+	 */
+	public Map<String, Boolean> liveReach(long nowNanos) {
+		Map<String, Boolean> live = new HashMap<>();
+		liveEntries(nowNanos).forEach((peer) -> live.put(peer.lastMessage.sender(), peer.lastMessage.storeReachable()));
+		return live;
+	}
+
+	/**
+	 * Returns the address of a daemon.
+	 * @param name the daemon's name
+	 * @return address on which it receives datagrams; empty if it is not known
+	 */
+	public Optional<InetSocketAddress> address(String name) {
+		return Optional.ofNullable(this.peers.get(name)).map((peer) -> peer.address);
+	}
+
+	/**
+	 * Tells whether any other daemon has sent a message.
+	 * @return whether one has
+	 */
+	public boolean hasHeardFromAny() {
+		return this.peers.values().stream().anyMatch((peer) -> peer.hasSentMessage);
+	}
+
 	/**
 	 * Returns the daemons that sent a message recently, as ways for requests.
 	 * @param nowNanos the current elapsed time in ns
