Plan the placement while no order may be given, and ask for a window

PlacementCoordinator took the lease of the store's group, under which planning and ordering are allowed together. The holder of the placement duty may order only within a window after an append, and appends only if it has orders to give. The coordinator takes the interface OrderPermission instead, which LeaderLease implements: it plans while the duty is held, tells whether there are orders to give, and gives them once the window is open. A report that arrives after the window has closed leads to a new plan.

The longest wait for the first plan counts from the first round of the daemon instead of from the beginning of the leadership, as the time before the first request does.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/LeaderLease.java
@@ -9,7 +9,7 @@
  * era of the store and that number. The lease runs from the time at which the renewal was
  * sent.
  */
-public final class LeaderLease {
+public final class LeaderLease implements OrderPermission {
 
 	/**
 	 * Length of the lease that is requested, in ms: long enough to survive a few lost
@@ -76,22 +76,24 @@
 		this.leader = false;
 	}
 
-	/**
-	 * Records that an engine rejected an order because it has seen a higher fencing
-	 * token. No order is given again under this token or a lower one.
-	 * @param token the token of the rejected order
-	 */
+	@Override
 	public void recordRejectedToken(long token) {
 		this.highestRejectedToken = Math.max(this.highestRejectedToken, token);
 	}
 
+	@Override
+	public boolean holdsDuty(long nowNanos) {
+		return mayOrder(nowNanos);
+	}
+
 	/**
 	 * Tells whether orders may be given.
 	 * @param nowNanos the current elapsed time in ns
 	 * @return whether this daemon is the leader, the lease has not expired and no engine
 	 * has rejected its token
 	 */
-	public boolean isHeld(long nowNanos) {
+	@Override
+	public boolean mayOrder(long nowNanos) {
 		long remainingNanos = TimeUnit.MILLISECONDS.toNanos(TTL_MS) - SAFETY_MARGIN_NANOS
 				- (nowNanos - this.renewalSentNanos);
 		return this.leader && remainingNanos > 0 && fencingToken() > this.highestRejectedToken;
@@ -110,10 +112,16 @@
 	 * change of the group, also when the store goes back to an older copy.
 	 * @return the token
 	 */
+	@Override
 	public long fencingToken() {
 		return this.era * TOKENS_PER_ERA + this.generation;
 	}
 
+	@Override
+	public String reason() {
+		return (this.leader) ? "elected by the store's group" : "not the leader of the store's group";
+	}
+
 	/**
 	 * Returns the number of the group's last change.
 	 * @return the number that the store last reported in its present era; 0 before the
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/layers/PlacementCoordinator.java
@@ -21,15 +21,16 @@
 import org.comfreyslip.entry.model.ServiceSpec;
 
 /**
- * Orders engines to hold the planned layers while this daemon is the leader of layer
- * placement. It keeps no plan: each round starts from the layers that the endpoints hold,
- * so a new leader continues where its predecessor stopped.
+ * Orders engines to hold the planned layers while this daemon holds the placement duty.
+ * It keeps no plan: each round starts from the layers that the endpoints hold, so a new
+ * holder continues where its predecessor stopped. Rounds also plan while no order may be
+ * given, so that the permission is asked for only if there is something to order.
  */
 public final class PlacementCoordinator {
 
 	/**
-	 * Least time from the start of the leadership to the first plan, in ns, in which
-	 * registrations arrive.
+	 * Least time from the start of the duty to the first plan, in ns, in which
+	 * registrations arrive, also those that show the orders of the holder before.
 	 */
 	private static final long REGISTRATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -40,8 +41,8 @@
 	private static final long NO_GROWTH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
 	/**
-	 * Longest wait for the first plan, in ns; leaves time to load layers within the 15 s
-	 * before the first request.
+	 * Longest wait from the first round of this daemon to the first plan, in ns; leaves
+	 * time to load layers within the 15 s before the first request.
 	 */
 	private static final long MAX_FIRST_PLAN_WAIT_NANOS = TimeUnit.SECONDS.toNanos(7);
 
@@ -68,7 +69,7 @@
 
 	private final EngineControl control;
 
-	private final LeaderLease lease;
+	private final OrderPermission permission;
 
 	/** Clock for the responses of engines, which may arrive long after their round. */
 	private final LongSupplier elapsedNanos;
@@ -84,8 +85,20 @@
 
 	private final PlacementMetrics metrics = new PlacementMetrics();
 
-	/** Elapsed time in ns at which the leadership began; -1 without leadership. */
-	private long leaderSinceNanos = -1;
+	/** Whether this daemon held the duty in the last round. */
+	private boolean holding;
+
+	/** Elapsed time in ns at which the duty began; valid only while it is held. */
+	private long holdingSinceNanos;
+
+	/** Elapsed time in ns of the first round; -1 before. */
+	private long firstRoundNanos = -1;
+
+	/** Whether the last round planned orders that could not be given. */
+	private boolean deferred;
+
+	/** Reports that were requested before an order and have not arrived. */
+	private int openReports;
 
 	/** Largest number of engines of a service that a round has found so far. */
 	private int mostEnginesSeen;
@@ -99,42 +112,46 @@
 	 * @param faults endpoints that failed recently
 	 * @param loads the loads, from which the number of streams per endpoint is taken
 	 * @param control control calls to engines
-	 * @param lease the leader lease, without which no order is given
-	 * @param elapsedNanos clock of the elapsed time, in ns, to which the lease refers
+	 * @param permission the permission, without which no order is given
+	 * @param elapsedNanos clock of the elapsed time, in ns, to which the permission
+	 * refers
 	 */
 	public PlacementCoordinator(EndpointDirectory directory, EndpointFaults faults, LayerLoads loads,
-			EngineControl control, LeaderLease lease, LongSupplier elapsedNanos) {
+			EngineControl control, OrderPermission permission, LongSupplier elapsedNanos) {
 		this.directory = directory;
 		this.faults = faults;
 		this.loads = loads;
 		this.control = control;
-		this.lease = lease;
+		this.permission = permission;
 		this.elapsedNanos = elapsedNanos;
 	}
 
 	/**
-	 * Plans the layers of each service and orders the changes, if this daemon holds the
-	 * leader lease. Called periodically.
+	 * Plans the layers of each service if this daemon holds the duty, and orders the
+	 * changes if it may. Called periodically, and when the permission has changed.
 	 * @param services the services of the configuration in force
-	 * @param nowNanos the current elapsed time in ns, to which the lease refers
+	 * @param nowNanos the current elapsed time in ns, to which the permission refers
 	 * @param steadyNanos the current steady time in ns, to which the times of recorded
 	 * faults refer
 	 */
 	public void planAndOrder(Iterable<ServiceSpec> services, long nowNanos, long steadyNanos) {
-		if (!this.lease.isHeld(nowNanos)) {
-			if (this.leaderSinceNanos >= 0) {
-				EntryLog.write(EntryEvent.DUTY, "placement", "held", false, "token", this.lease.fencingToken());
-			}
-			this.leaderSinceNanos = -1;
+		if (this.firstRoundNanos < 0) {
+			this.firstRoundNanos = nowNanos;
+		}
+		boolean holds = this.permission.holdsDuty(nowNanos);
+		if (holds != this.holding) {
+			this.holdingSinceNanos = nowNanos;
+			EntryLog.write(EntryEvent.DUTY, "placement", "held", holds, "token", this.permission.fencingToken(), "why",
+					this.permission.reason());
+		}
+		this.holding = holds;
+		this.deferred = false;
+		if (!holds) {
 			this.pendingOrders.clear();
 			return;
 		}
-		if (this.leaderSinceNanos < 0) {
-			this.leaderSinceNanos = nowNanos;
-			EntryLog.write(EntryEvent.DUTY, "placement", "held", true, "token", this.lease.fencingToken());
-		}
 		removeSettledOrders(nowNanos);
-		if (nowNanos - this.leaderSinceNanos < REGISTRATION_WAIT_NANOS) {
+		if (nowNanos - this.holdingSinceNanos < REGISTRATION_WAIT_NANOS) {
 			return;
 		}
 		for (ServiceSpec service : services) {
@@ -142,6 +159,15 @@
 		}
 	}
 
+	/**
+	 * Tells whether there are orders to give, so that the permission has to be renewed.
+	 * @return whether the last round planned orders that it could not give, or orders
+	 * wait for the reports of their engines
+	 */
+	public boolean wantsToOrder() {
+		return this.holding && (this.deferred || this.openReports > 0);
+	}
+
 	// Removes orders that show in the registration, whose engine is gone or restarted, or
 	// that have expired.
 	private void removeSettledOrders(long nowNanos) {
@@ -176,6 +202,13 @@
 		LayerPlanner.PlannedOrders orders = LayerPlanner.planRoundWithCauses(engine, placements);
 		logMissingLayers(service, engine, placements, orders.ranges().size());
 		logLayersWithoutReplica(service, engine, placements, suspected.size(), orders);
+		if (orders.ranges().isEmpty()) {
+			return;
+		}
+		if (!this.permission.mayOrder(nowNanos)) {
+			this.deferred = true;
+			return;
+		}
 		orders.causes().values().forEach(this.metrics::countOrder);
 		orders.ranges().forEach((id, range) -> startOrder(byId.get(id), range, nowNanos));
 	}
@@ -263,24 +296,34 @@
 		}
 		boolean isFirstPlan = placements.stream().allMatch((placement) -> placement.layers().isEmpty());
 		return isFirstPlan && nowNanos - this.lastGrowthNanos < NO_GROWTH_NANOS
-				&& nowNanos - this.leaderSinceNanos < MAX_FIRST_PLAN_WAIT_NANOS;
+				&& nowNanos - this.firstRoundNanos < MAX_FIRST_PLAN_WAIT_NANOS;
 	}
 
 	private void startOrder(Endpoint endpoint, LayerRange range, long nowNanos) {
 		PendingOrder order = new PendingOrder(range, endpoint.incarnationStartMs(), nowNanos + ORDER_TIMEOUT_NANOS);
 		this.pendingOrders.put(endpoint.id(), order);
-		this.control.fetchReport(endpoint,
-				(report) -> onReport(endpoint, order, report, this.elapsedNanos.getAsLong()));
+		this.openReports++;
+		this.control.fetchReport(endpoint, (report) -> {
+			this.openReports--;
+			onReport(endpoint, order, report, this.elapsedNanos.getAsLong());
+		});
 	}
 
-	// The lease may have ended, and another daemon may have ordered the engine, since the
+	// The duty may have ended, and another daemon may have ordered the engine, since the
 	// report was requested.
 	private void onReport(Endpoint endpoint, PendingOrder order, Optional<EngineControl.Report> report, long nowNanos) {
 		LayerRange range = order.range();
-		if (!this.lease.isHeld(nowNanos) || this.pendingOrders.get(endpoint.id()) != order) {
+		if (!this.permission.holdsDuty(nowNanos) || this.pendingOrders.get(endpoint.id()) != order) {
 			EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome", "no longer due");
 			return;
 		}
+		if (!this.permission.mayOrder(nowNanos)) {
+			// The next round plans again, when the permission has been renewed.
+			EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome", "window closed");
+			this.pendingOrders.remove(endpoint.id());
+			this.deferred = true;
+			return;
+		}
 		if (report.isEmpty() || report.get().busy()) {
 			EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", range, "outcome",
 					(report.isEmpty()) ? "no report" : "busy");
@@ -288,7 +331,7 @@
 			return;
 		}
 		if (!report.get().layers().equals(Optional.of(range))) {
-			long fencingToken = this.lease.fencingToken();
+			long fencingToken = this.permission.fencingToken();
 			EntryLog.write(EntryEvent.LAYERS_ORDERED, endpoint.id(), "range", range, "fence", fencingToken, "had",
 					endpoint.layers());
 			this.control.orderLayers(endpoint, range, fencingToken, report.get().orderCount(),
@@ -304,7 +347,7 @@
 		EntryLog.write(EntryEvent.ORDER_OUTCOME, endpoint.id(), "range", order.range(), "outcome", outcome, "fence",
 				fencingToken);
 		if (outcome == EngineControl.OrderOutcome.FENCED) {
-			this.lease.recordRejectedToken(fencingToken);
+			this.permission.recordRejectedToken(fencingToken);
 		}
 		scheduleRetry(endpoint, order, nowNanos);
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LeaderLeaseTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/LeaderLeaseTests.java
@@ -22,29 +22,29 @@
 	@Test
 	void leaseRunsFromSendingTheRenewal() {
 		this.lease.onMembership(new Membership(0, 4, true), ms(1_000));
-		assertThat(this.lease.isHeld(ms(1_100))).isTrue();
-		assertThat(this.lease.isHeld(ms(1_000 + LeaderLease.TTL_MS))).isFalse();
+		assertThat(this.lease.mayOrder(ms(1_100))).isTrue();
+		assertThat(this.lease.mayOrder(ms(1_000 + LeaderLease.TTL_MS))).isFalse();
 	}
 
 	@Test
 	void leaseEndsBeforeTheStoreMayElectAnotherLeader() {
 		this.lease.onMembership(new Membership(0, 4, true), 0);
-		assertThat(this.lease.isHeld(ms(LeaderLease.TTL_MS - 400))).isFalse();
+		assertThat(this.lease.mayOrder(ms(LeaderLease.TTL_MS - 400))).isFalse();
 	}
 
 	@Test
 	void rejectedFencingTokenIsNotUsedAgain() {
 		this.lease.onMembership(new Membership(0, 4, true), 0);
 		this.lease.recordRejectedToken(4);
-		assertThat(this.lease.isHeld(ms(1))).isFalse();
+		assertThat(this.lease.mayOrder(ms(1))).isFalse();
 		this.lease.onMembership(new Membership(0, 5, true), ms(2));
-		assertThat(this.lease.isHeld(ms(3))).isTrue();
+		assertThat(this.lease.mayOrder(ms(3))).isTrue();
 	}
 
 	@Test
 	void memberThatIsNotLeaderHoldsNoLease() {
 		this.lease.onMembership(new Membership(0, 4, false), 0);
-		assertThat(this.lease.isHeld(ms(1))).isFalse();
+		assertThat(this.lease.mayOrder(ms(1))).isFalse();
 	}
 
 	@Test
@@ -54,19 +54,19 @@
 		this.lease.onMembership(new Membership(2, 3, true), ms(100));
 		assertThat(this.lease.fencingToken()).isGreaterThan(before);
 		this.lease.recordRejectedToken(before);
-		assertThat(this.lease.isHeld(ms(200))).isTrue();
+		assertThat(this.lease.mayOrder(ms(200))).isTrue();
 	}
 
 	@Test
 	void leaseFromBeforeTheStoreWentBackIsNotHeld() {
 		this.lease.onMembership(new Membership(1, 9, true), 0);
 		this.lease.onStoreWentBack(2);
-		assertThat(this.lease.isHeld(ms(100))).isFalse();
+		assertThat(this.lease.mayOrder(ms(100))).isFalse();
 		assertThat(this.lease.generation()).isZero();
 		this.lease.onMembership(new Membership(1, 9, true), ms(100));
-		assertThat(this.lease.isHeld(ms(200))).isFalse();
+		assertThat(this.lease.mayOrder(ms(200))).isFalse();
 		this.lease.onMembership(new Membership(2, 3, true), ms(200));
-		assertThat(this.lease.isHeld(ms(300))).isTrue();
+		assertThat(this.lease.mayOrder(ms(300))).isTrue();
 	}
 
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/layers/PlacementCoordinatorTests.java
@@ -123,6 +123,77 @@
 		assertThat(this.engines.orderedRanges).isEmpty();
 	}
 
+	// Guards against a holder that asks for no window and so never orders, and against
+	// one
+	// that asks for windows while there is nothing to order.
+	@Test
+	void ordersAreGivenOnceTheWindowIsOpenAndAreWantedOnlyUntilThen() {
+		WindowedPermission window = new WindowedPermission();
+		PlacementCoordinator holder = new PlacementCoordinator(this.directory, new EndpointFaults(),
+				new LayerLoads(new SplittableRandom(1)), this.engines, window, () -> this.nowNanos);
+		register(8);
+		this.engines.holdsReports = true;
+		runHolder(holder, 0, 1_400);
+		assertThat(holder.wantsToOrder()).isFalse();
+		runHolder(holder, 1_400, 2_600);
+		assertThat(holder.wantsToOrder()).isTrue();
+		assertThat(this.engines.heldReports).isEmpty();
+		window.open = true;
+		runHolder(holder, 2_600, 2_800);
+		window.open = false;
+		this.engines.sendHeldReports();
+		assertThat(this.engines.orderedRanges).isEmpty();
+		assertThat(holder.wantsToOrder()).isTrue();
+		window.open = true;
+		runHolder(holder, 2_800, 3_000);
+		assertThat(holder.wantsToOrder()).isTrue();
+		this.engines.sendHeldReports();
+		assertThat(this.engines.orderedRanges).hasSize(8);
+		assertThat(holder.wantsToOrder()).isFalse();
+		window.open = false;
+		runHolder(holder, 3_000, 8_000);
+		assertThat(holder.wantsToOrder()).isFalse();
+	}
+
+	private void runHolder(PlacementCoordinator holder, long fromMs, long toMs) {
+		for (long timeMs = fromMs; timeMs < toMs; timeMs += 200) {
+			this.nowNanos = TimeUnit.MILLISECONDS.toNanos(timeMs);
+			holder.planAndOrder(this.services, this.nowNanos, this.nowNanos);
+		}
+	}
+
+	/** Permission of a holder whose window is closed at times. */
+	private static final class WindowedPermission implements OrderPermission {
+
+		private boolean open;
+
+		@Override
+		public boolean holdsDuty(long nowNanos) {
+			return true;
+		}
+
+		@Override
+		public boolean mayOrder(long nowNanos) {
+			return this.open;
+		}
+
+		@Override
+		public long fencingToken() {
+			return 7;
+		}
+
+		@Override
+		public void recordRejectedToken(long token) {
+			this.open = false;
+		}
+
+		@Override
+		public String reason() {
+			return "test";
+		}
+
+	}
+
 	private static final class RecordingEngineControl implements EngineControl {
 
 		private final List<LayerRange> orderedRanges = new ArrayList<>();
