--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
@@ -30,11 +30,12 @@
 	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
 	/**
-	 * Silence after which a standby reads the last record, in ns: one notice is missing.
-	 * The holder may have appended since its last notice; if the record were read only at
-	 * the claim, its wait would begin later.
+	 * Silence after which a standby reads the last record, in ns: one notice is missing,
+	 * although notices are sent and read every 20 ms only. The holder may have appended
+	 * since its last notice; if the record were read only at the claim, its wait would
+	 * begin later.
 	 */
-	private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(130);
+	private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
 	/**
 	 * Time without a decision from which on a silence may be this daemon's own, in ns.
@@ -94,6 +95,9 @@
 
 	private long highestRejectedToken;
 
+	/** Why this daemon became the holder last, or ceased to be it. */
+	private String lastChange = "no record was read";
+
 	/** Number of this daemon's last append, by which it knows the record again. */
 	private long lastSerial;
 
@@ -226,6 +230,9 @@
 		else if (!this.holder) {
 			this.ordersFromNanos = done.before().sinceNanos() + TimeUnit.MILLISECONDS.toNanos(done.before().waitMs());
 		}
+		if (this.holder == done.content().released()) {
+			this.lastChange = (this.holder) ? "given up" : done.before().reasonToClaim();
+		}
 		long waitMs = (newEra) ? MAX_WINDOW_MS : done.content().waitMs();
 		this.end = new LogEnd(era, offset, this.name, waitMs, done.content().released(), nowNanos);
 		this.holder = !done.content().released();
@@ -281,6 +288,9 @@
 			// Another daemon has just claimed the duty.
 			this.lastHeardNanos = nowNanos;
 		}
+		if (this.holder) {
+			this.lastChange = "record of " + read.writer();
+		}
 		this.holder = false;
 		if (this.end == null || !this.end.isSameRecord(read)) {
 			this.end = read;
@@ -303,6 +313,9 @@
 		if (order > 0) {
 			this.end = new LogEnd(notice.era(), notice.offset(), notice.holder(), notice.waitMs(), notice.released(),
 					nowNanos);
+			if (this.holder) {
+				this.lastChange = "notice of " + notice.holder();
+			}
 			this.holder = false;
 			this.pending = null;
 			this.readDue = false;
@@ -361,6 +374,31 @@
 		return this.holder;
 	}
 
+	/**
+	 * Tells whether this daemon needs only an append to give orders.
+	 * @param nowNanos the current elapsed time in ns
+	 * @return whether it is the holder and the windows of all before have ended
+	 */
+	boolean hasWaited(long nowNanos) {
+		return this.holder && nowNanos - this.ordersFromNanos >= 0;
+	}
+
+	/**
+	 * Tells whether the holder sends notices to this daemon.
+	 * @return whether this daemon claims first if they stop
+	 */
+	public boolean isStandby() {
+		return this.rank != DutyNotice.NO_STANDBY;
+	}
+
+	/**
+	 * Returns why this daemon became the holder last, or ceased to be it.
+	 * @return the reason, for the log
+	 */
+	public String lastChange() {
+		return this.lastChange;
+	}
+
 	/**
 	 * Returns the silence of the holder after which daemons that are no standbys claim:
 	 * in four rounds of messages within the data centre they hear of a live holder.
@@ -416,6 +454,14 @@
 			return this.era == other.era && this.offset == other.offset && this.writer.equals(other.writer);
 		}
 
+		// Returns why a claim behind this record was due.
+		String reasonToClaim() {
+			if (this.writer.isEmpty()) {
+				return (this.offset < 0) ? "no record" : "unknown record";
+			}
+			return ((this.released) ? "given up by " : "silence of ") + this.writer;
+		}
+
 		// Positive if the notice tells of a later record.
 		int compareTo(DutyNotice notice) {
 			return (notice.era() != this.era) ? Long.compare(notice.era(), this.era)
