Tell all daemons of a new holder, and say at the start that no earlier release is known

It now looks at the list when it is created.

A new holder tells all live daemons once: the periodic messages to other data centres take up to 12 s, in which others would claim as well. The time after a call without an answer is 50 ms, so that the next decision follows within 100 ms. The messages between daemons tell when datagrams are read, at which moment the duty is decided.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
@@ -1,7 +1,9 @@
 package org.comfreyslip.entry.duty;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -42,10 +44,11 @@
 	private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/**
-	 * Time after a call without an answer in which there is no further one, in ns: within
-	 * the time between decisions that {@link PlacementDuty} asks for.
+	 * Time after a call without an answer in which there is no further one, in ns. With
+	 * the time to the next decision it is less than the 100 ms after which
+	 * {@link PlacementDuty} takes the process for suspended.
 	 */
-	private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
+	private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
 	/** Time between calls after several without an answer, in ns. */
 	private static final long LONG_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -77,9 +80,17 @@
 	/** Why this daemon may not hold the duty; empty if it may. */
 	private String obstacle = "starting";
 
-	/** Names of the other daemons that may be standbys. */
+	/** Names of the other live daemons. */
+	private List<String> others = List.of();
+
+	/** Names of those that may be standbys. */
 	private List<String> candidates = List.of();
 
+	/**
+	 * Silence of the holder after which this daemon claims if it is no standby, in ns.
+	 */
+	private long outsiderSilenceNanos;
+
 	/** Rank of this daemon among all that may claim. */
 	private int ownRank;
 
@@ -102,6 +113,8 @@
 
 	private long lastFailureNanos;
 
+	private final Map<CallOutcome, Long> calls = new EnumMap<>(CallOutcome.class);
+
 	private String reason = "no record was read";
 
 	/**
@@ -128,6 +141,10 @@
 		this.decidesFromNanos = now;
 		this.lastNoticeNanos = now;
 		this.lastRefreshNanos = now;
+		// Else the first message would tell of a daemon of an earlier release, and the
+		// holder
+		// would give the duty up.
+		this.watch.update(List.of(), now);
 	}
 
 	/**
@@ -155,9 +172,7 @@
 		}
 		this.obstacle = findObstacle(ownObstacle, now);
 		if (now - this.decidesFromNanos >= 0 && !isBackingOff(now)) {
-			this.duty
-				.takeCall(this.obstacle.isEmpty(), ordersWanted,
-						PlacementDuty.outsiderSilenceNanos(this.peers.localCount()), this.ownRank, now)
+			this.duty.takeCall(this.obstacle.isEmpty(), ordersWanted, this.outsiderSilenceNanos, this.ownRank, now)
 				.ifPresent((call) -> carryOut(call, ordersWanted));
 		}
 		if (now - this.lastNoticeNanos >= NOTICE_NANOS) {
@@ -181,6 +196,8 @@
 		this.lastRefreshNanos = nowNanos;
 		Map<String, Boolean> live = this.peers.live(nowNanos);
 		this.watch.update(live.keySet(), nowNanos);
+		this.outsiderSilenceNanos = PlacementDuty.outsiderSilenceNanos(this.peers.localCount());
+		this.others = List.copyOf(live.keySet());
 		this.candidates = live.entrySet().stream().filter(Map.Entry::getValue).map(Map.Entry::getKey).toList();
 		List<String> ranked = new ArrayList<>(this.candidates);
 		ranked.add(this.daemon);
@@ -201,7 +218,7 @@
 			this.log.readLast((last) -> {
 				long now = this.elapsedNanos.getAsLong();
 				last.ifPresentOrElse((one) -> {
-					this.unansweredCalls = 0;
+					onAnswer(CallOutcome.READ);
 					this.duty.onLastRecord(one.era(), one.offset(), DutyRecord.decode(one.content()), now);
 				}, () -> onNoAnswer(now));
 				notifyOfChange();
@@ -212,13 +229,13 @@
 	private void onAppendOutcome(DutyRecord content, AppendOutcome outcome, boolean ordersWanted) {
 		long now = this.elapsedNanos.getAsLong();
 		if (outcome instanceof AppendOutcome.Appended appended) {
-			this.unansweredCalls = 0;
+			onAnswer(CallOutcome.APPENDED);
 			this.duty.onAppended(appended.era(), appended.offset(), now);
 			this.releaseNoticesLeft = (content.released()) ? RELEASE_NOTICES : 0;
 			sendNotices(now);
 		}
 		else if (outcome instanceof AppendOutcome.Conflict) {
-			this.unansweredCalls = 0;
+			onAnswer(CallOutcome.CONFLICT);
 			this.duty.onConflict();
 		}
 		else {
@@ -230,7 +247,13 @@
 		}
 	}
 
+	private void onAnswer(CallOutcome outcome) {
+		this.unansweredCalls = 0;
+		this.calls.merge(outcome, 1L, Long::sum);
+	}
+
 	private void onNoAnswer(long nowNanos) {
+		this.calls.merge(CallOutcome.UNANSWERED, 1L, Long::sum);
 		this.unansweredCalls++;
 		this.lastFailureNanos = nowNanos;
 		this.duty.onNoAnswer();
@@ -266,10 +289,24 @@
 		}
 		this.wasHolder = holder;
 		this.reason = this.duty.lastChange() + ((holder || this.obstacle.isEmpty()) ? "" : ": " + this.obstacle);
+		if (holder) {
+			notifyOthers();
+		}
 		this.onChange.run();
 		return true;
 	}
 
+	// Others may be about to claim as well. With many daemons, the periodic messages
+	// reach
+	// them seconds later.
+	private void notifyOthers() {
+		this.duty.noticeTo(DutyNotice.NO_STANDBY).map(DutyNotice::encode).ifPresent((notice) -> {
+			List<String> receivers = new ArrayList<>(this.others);
+			receivers.removeAll(this.standbys.current());
+			receivers.forEach((receiver) -> this.peers.send(notice, receiver));
+		});
+	}
+
 	/**
 	 * Returns the time to the next decision.
 	 * @return the longest time, in ms
@@ -296,6 +333,22 @@
 		return this.obstacle.isEmpty() && this.duty.hasWaited(nowNanos);
 	}
 
+	/**
+	 * Returns the metrics of the duty.
+	 * @return text in the Prometheus format, with every outcome
+	 */
+	public String metricsText() {
+		StringBuilder text = new StringBuilder();
+		for (CallOutcome outcome : CallOutcome.values()) {
+			text.append("comfreyslip_duty_calls_total{outcome=\"")
+				.append(outcome.name().toLowerCase(Locale.ROOT))
+				.append("\"} ")
+				.append(this.calls.getOrDefault(outcome, 0L))
+				.append('\n');
+		}
+		return text.append("comfreyslip_duty_held ").append((this.duty.isHolder()) ? 1 : 0).append('\n').toString();
+	}
+
 	@Override
 	public boolean holdsDuty(long nowNanos) {
 		return this.obstacle.isEmpty() && this.duty.isHolder();
@@ -321,4 +374,21 @@
 		return (this.duty.isHolder() && !this.obstacle.isEmpty()) ? this.obstacle : this.reason;
 	}
 
+	/** How a call to the store ended, for the metrics. */
+	private enum CallOutcome {
+
+		/** The record was appended. */
+		APPENDED,
+
+		/** The log did not end where it was expected. */
+		CONFLICT,
+
+		/** The last record was read. */
+		READ,
+
+		/** There was no answer, or one that cannot be decoded. */
+		UNANSWERED
+
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyStandbys.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyStandbys.java
@@ -27,6 +27,14 @@
 	/** Notices still due to former standbys, by name. */
 	private final Map<String, Integer> farewells = new HashMap<>();
 
+	/**
+	 * Returns the standbys of the last round of notices.
+	 * @return their names by rank
+	 */
+	List<String> current() {
+		return this.standbys;
+	}
+
 	/**
 	 * Returns the receivers of the next round of notices.
 	 * @param candidates names of the other live daemons that reach the store and the
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/peer/PeerExchange.java
@@ -103,6 +103,9 @@
 	private Consumer<RegistrationRelay> onRelay = (relay) -> {
 	};
 
+	private Runnable onPoll = () -> {
+	};
+
 	private Consumer<DutyNotice> onDutyNotice = (notice) -> {
 	};
 
@@ -186,6 +189,14 @@
 		this.onDutyNotice = action;
 	}
 
+	/**
+	 * Sets what is done each time that the datagrams are read, every 40 ms.
+	 * @param action the action, which throws nothing
+	 */
+	public void setOnPoll(Runnable action) {
+		this.onPoll = action;
+	}
+
 	/**
 	 * Reads the datagrams that have arrived, between two of the regular reads. They are
 	 * handled after the present task of the event loop.
@@ -224,11 +235,13 @@
 		if (this.announcementsReadNanos.isEmpty()) {
 			return false;
 		}
+		if (this.table.hasHeardFromAny()) {
+			return true;
+		}
 		int others = this.table.targets().size();
 		long silentNanos = TimeUnit.MILLISECONDS
 			.toNanos(PeerSchedule.remoteIntervalMs(others) + FIRST_MESSAGE_MARGIN_MS);
-		return others == 0 || this.table.hasHeardFromAny()
-				|| nowNanos - this.announcementsReadNanos.getAsLong() >= silentNanos;
+		return others == 0 || nowNanos - this.announcementsReadNanos.getAsLong() >= silentNanos;
 	}
 
 	/**
@@ -252,6 +265,7 @@
 	private void exchangeNews() {
 		this.socket.read();
 		sendCrashNotices();
+		this.onPoll.run();
 	}
 
 	private void sendCrashNotices() {
