Let the records of the placement duty decide who orders layers

The store's group moved the leadership when daemons joined or left, and cost a call each 0.9 s for each reader. PlacementControl now asks the records of the duty, and the group only while a daemon of an earlier release is alive; no order is given under both. It decides when datagrams are read, and 20 ms later at the holder and its standbys. A daemon that stops, is cut off from the engines, or does not reach the store for 1 s gives the duty up. A daemon can leave the group again after it has joined it a second time.

aDaemonThatIsCutOffDoesNotStandForElection keeps its assertions; it now lets the daemon hear one of an earlier release, without which no daemon stands for election any more. A test beside it asserts the same of the duty.

PlacementDutyTests in platform (4 tests over loopback, 4 daemons; without the change no daemon takes the duty), DaemonsCutOffFromEndpointsTests (31) and DutyRunnerTests pass.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -18,7 +18,6 @@
 import org.comfreyslip.entry.fleet.EndpointDirectory;
 import org.comfreyslip.entry.http.Listeners;
 import org.comfreyslip.entry.http.Router;
-import org.comfreyslip.entry.layers.LeaderLease;
 import org.comfreyslip.entry.layers.PlacementCoordinator;
 import org.comfreyslip.entry.model.Configuration;
 import org.comfreyslip.entry.model.Endpoint;
@@ -28,9 +27,8 @@
 import org.comfreyslip.entry.peer.WaitingPromptsExtension;
 
 /**
- * One entry daemon. It reads the topics of the store, takes part in the election of the
- * leader for layer placement, exchanges messages with its peers and serves callers, all
- * on one event loop.
+ * One entry daemon. It reads the topics of the store, takes part in the placement of
+ * layers, exchanges messages with its peers and serves callers, all on one event loop.
  */
 public final class EntryDaemon {
 
@@ -94,12 +92,12 @@
 
 	private final KeyedFeed endpointFeed = new KeyedFeed();
 
-	private final LeaderLease leaderLease = new LeaderLease();
-
 	private final FeedReader configurationReader;
 
 	private final FeedReader endpointReader;
 
+	private final PlacementControl placementControl;
+
 	private final PlacementCoordinator placement;
 
 	private final Router router;
@@ -143,8 +141,11 @@
 		this.peers.addExtension(new PlainLoadsExtension(this.router.plainLoads(), System::nanoTime));
 		this.peers.addExtension(new WaitingPromptsExtension(this.router.waitingPrompts(), System::nanoTime));
 		this.router.setRelayPeers(() -> this.peers.table().relayPeers(this.clock.nanos()));
+		this.placementControl = new PlacementControl(loop, settings, ports, this.peers,
+				this.router::isCutOffFromEngines, this.clock::nanos, this::planPlacement);
 		this.placement = new PlacementCoordinator(this.directory, this.router.faults(), this.router.loads(),
-				ports.engines(), this.leaderLease, this.clock::nanos);
+				ports.engines(), this.placementControl, this.clock::nanos);
+		this.placementControl.setOrdersWanted(this.placement::wantsToOrder);
 		this.configurationReader = new FeedReader(loop, "configuration", ports.configurations(), this.configurationFeed,
 				this.clock::nanos, this::onConfigurations, configurationIntervals(settings), this.peers::storeReading,
 				0);
@@ -180,12 +181,13 @@
 		Listeners.bindReadiness(this.loop, this.settings.readinessAddress(), this::isReady);
 		Listeners
 			.bindMetrics(this.loop, this.settings.metricsAddress(),
-					() -> this.router.metricsText() + this.placement.metricsText())
+					() -> this.router.metricsText() + this.placement.metricsText()
+							+ this.placementControl.metricsText())
 			.addListener((bound) -> logIfNotBound(bound, "metrics"));
 		this.configurationReader.start();
 		this.endpointReader.start();
 		keepCauses();
-		renewLeadership();
+		this.placementControl.start();
 		this.peers.start();
 		this.startedAtNanos = System.nanoTime();
 		openWhenAbleToServe();
@@ -226,9 +228,7 @@
 		this.router.checkConnections(System.nanoTime());
 		this.router.endpointLimits().removeExpired(System.nanoTime());
 		if (!this.router.isCutOffFromEngines()) {
-			this.router.configuration()
-				.ifPresent((configuration) -> this.placement.planAndOrder(configuration.services().values(), now,
-						System.nanoTime()));
+			planPlacement();
 		}
 		if (this.stopping) {
 			continueShutdown();
@@ -249,33 +249,16 @@
 		}
 	}
 
-	// Only daemons that read the store for others stand for election, since each renewal
-	// is a call to the store.
-	private void renewLeadership() {
-		boolean cutOff = this.router.isCutOffFromEngines();
-		if (cutOff && this.leaderLease.isLeader()) {
-			// Another daemon reaches the engines.
-			this.leaderLease.resign();
-			this.ports.leadership().leave();
-		}
-		if (cutOff || (!this.peers.storeReading().reads() && !this.leaderLease.isLeader())) {
-			this.loop.schedule(this::renewLeadership, LeaderLease.RENEWAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-			return;
-		}
-		long sentAtNanos = this.clock.nanos();
-		this.ports.leadership().join(this.leaderLease.generation(), LeaderLease.TTL_MS, (joined) -> {
-			joined.ifPresent((result) -> this.leaderLease.onMembership(result, sentAtNanos));
-			if (!this.stopping) {
-				this.loop.schedule(this::renewLeadership, LeaderLease.RENEWAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-			}
-		});
+	private void planPlacement() {
+		this.placement.planAndOrder(this.router.configuration().map((one) -> one.services().values()).orElse(List.of()),
+				this.clock.nanos(), System.nanoTime());
 	}
 
 	// Until the store holds the configuration in force again, or a newer one, it cannot
 	// confirm the API keys: it may have lost a version that revokes some.
 	private void onStoreWentBack() {
 		this.router.recordStoreWentBack();
-		this.leaderLease.onStoreWentBack(this.configurationFeed.era());
+		this.placementControl.onStoreWentBack(this.configurationFeed.era());
 		this.peers.onStoreWentBack(this.configurationFeed.era());
 		this.configurationFeed.setConfirmationsHeld(this.router.configuration().isPresent());
 	}
@@ -407,7 +390,7 @@
 		this.stopRequestedAtNanos = System.nanoTime();
 		this.router.announceStop();
 		this.peers.stopReadingForOthers();
-		this.ports.leadership().leave();
+		this.placementControl.stop();
 		EntryLog.write(EntryEvent.STOPPING, this.settings.name(), "callers", this.router.callerCount());
 	}
 
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/PlatformPorts.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/PlatformPorts.java
@@ -4,6 +4,7 @@
 
 import org.comfreyslip.entry.config.KeyedLog;
 import org.comfreyslip.entry.config.KeyedWriter;
+import org.comfreyslip.entry.duty.DutyLog;
 import org.comfreyslip.entry.http.HeaderTranslator;
 import org.comfreyslip.entry.layers.EngineControl;
 import org.comfreyslip.entry.layers.LeaderElection;
@@ -22,12 +23,14 @@
  * @param crashCauseWriter write access to that topic
  * @param engines calls to engines
  * @param leadership the group from which the store elects the leader for layer placement
+ * while daemons of earlier releases are alive
+ * @param dutyLog the log of the store that decides who holds the placement duty
  * @param peers the registry through which daemons find each other
  * @param decoder decoder of the records of both topics
  */
 public record PlatformPorts(HeaderTranslator wire, KeyedLog configurations, KeyedLog endpoints, KeyedLog crashCauses,
-		KeyedWriter crashCauseWriter, EngineControl engines, LeaderElection leadership, PeerRegistry peers,
-		RecordDecoder decoder) {
+		KeyedWriter crashCauseWriter, EngineControl engines, LeaderElection leadership, DutyLog dutyLog,
+		PeerRegistry peers, RecordDecoder decoder) {
 
 	/** Decodes records of the store. */
 	public interface RecordDecoder {
