--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyLog.java
@@ -55,7 +55,8 @@
 	 *
 	 * @param era how often the store has gone back to an older copy
 	 * @param offset offset of the record; -1 if the log is empty
-	 * @param content the encoded record; empty if the log is empty
+	 * @param content the encoded record; empty if the log is empty or its last record was
+	 * dropped at the end of its retention
 	 */
 	record LastRecord(long era, long offset, byte[] content) {
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
@@ -262,8 +262,8 @@
 	 * Records the last record of the log.
 	 * @param era the era that the answer states
 	 * @param offset offset of the record; -1 if the log is empty
-	 * @param content the record; empty if the log is empty or the record has another
-	 * format, as one of a later release
+	 * @param content the record; empty if the log is empty, the record has another
+	 * format, as one of a later release, or it was dropped at the end of its retention
 	 * @param nowNanos the current elapsed time in ns
 	 */
 	public void onLastRecord(long era, long offset, Optional<DutyRecord> content, long nowNanos) {
@@ -278,6 +278,10 @@
 			succeed(open, era, offset, open.firstSentNanos(), nowNanos);
 			return;
 		}
+		if (!this.holder && content.isEmpty() && this.end != null && this.end.isAt(era, offset)) {
+			// The record that is known has reached the end of its retention.
+			return;
+		}
 		boolean known = content.isPresent() && content.get().era() == era;
 		LogEnd read = new LogEnd(era, offset, content.map(DutyRecord::writer).orElse(""),
 				(known) ? content.get().waitMs() : MAX_WINDOW_MS, content.isPresent() && content.get().released(),
@@ -450,6 +454,10 @@
 	 */
 	private record LogEnd(long era, long offset, String writer, long waitMs, boolean released, long sinceNanos) {
 
+		boolean isAt(long otherEra, long otherOffset) {
+			return this.era == otherEra && this.offset == otherOffset;
+		}
+
 		boolean isSameRecord(LogEnd other) {
 			return this.era == other.era && this.offset == other.offset && this.writer.equals(other.writer);
 		}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/PlacementDutyTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/PlacementDutyTests.java
@@ -85,6 +85,22 @@
 		}
 	}
 
+	// Guards against a standby that starts to wait anew when the record that it knows has
+	// been dropped at the end of its retention.
+	@Test
+	void aRecordThatIsNoLongerRetainedIsNotTakenForThatOfAnotherDaemon() {
+		PlacementDuty standby = new PlacementDuty("b", 0);
+		standby.onNotice(new DutyNotice("a", 1, 7, 250, false, 0, 0), ms(10));
+		for (long timeMs = 40; timeMs <= 160; timeMs += 40) {
+			standby.takeCall(true, false, ms(2_000), 1, ms(timeMs))
+				.ifPresent((call) -> standby.onLastRecord(1, 7, Optional.empty(), ms(165)));
+		}
+		Optional<DutyCall> claim = standby.takeCall(true, false, ms(2_000), 1, ms(210));
+		assertThat(claim).containsInstanceOf(DutyCall.Append.class);
+		standby.onAppended(1, 8, ms(215));
+		assertThat(standby.hasWaited(ms(261))).isTrue();
+	}
+
 	@Test
 	void aDaemonThatJoinsDoesNotDisplaceTheHolder() {
 		DutySimulation simulation = new DutySimulation(95, 5, 1);
