Do not state a holder as alive that may not hold the duty

A holder that did not reach the store or the engines sent no notices, but its periodic messages still stated that it was heard 1 ms ago. If its release did not reach the store, the standbys of its data centre heard that every 200 ms and did not claim, and no daemon gave orders until the holder reached the store again. The messages now state the time since it could hold the duty last, also between two calls to the store.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
@@ -171,6 +171,7 @@
 			refresh(now);
 		}
 		this.obstacle = findObstacle(ownObstacle, now);
+		this.duty.setMayHold(this.obstacle.isEmpty(), now);
 		if (now - this.decidesFromNanos >= 0 && !isBackingOff(now)) {
 			this.duty.takeCall(this.obstacle.isEmpty(), ordersWanted, this.outsiderSilenceNanos, this.ownRank, now)
 				.ifPresent((call) -> carryOut(call, ordersWanted));
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/PlacementDuty.java
@@ -127,8 +127,8 @@
 	 */
 	public Optional<DutyCall> takeCall(boolean mayHold, boolean ordersWanted, long outsiderNanos, int outsiderRank,
 			long nowNanos) {
-		this.active = mayHold;
-		if (nowNanos - this.lastDecisionNanos > STALL_NANOS) {
+		setMayHold(mayHold, nowNanos);
+		if (!this.holder && nowNanos - this.lastDecisionNanos > STALL_NANOS) {
 			this.lastHeardNanos = nowNanos;
 		}
 		this.lastDecisionNanos = nowNanos;
@@ -140,6 +140,18 @@
 		return call;
 	}
 
+	/**
+	 * Sets whether this daemon may hold the duty, also while no call is asked for.
+	 * @param mayHold see {@link #takeCall}
+	 * @param nowNanos the current elapsed time in ns
+	 */
+	void setMayHold(boolean mayHold, long nowNanos) {
+		this.active = mayHold;
+		if (this.holder && mayHold) {
+			this.lastHeardNanos = nowNanos;
+		}
+	}
+
 	private Optional<DutyCall> nextCall(boolean ordersWanted, long outsiderNanos, int outsiderRank, long nowNanos) {
 		if (this.holder) {
 			return nextCallOfHolder(ordersWanted, nowNanos);
@@ -341,13 +353,15 @@
 	}
 
 	/**
-	 * Returns what this daemon passes on to all others about the holder.
+	 * Returns what this daemon passes on to all others about the holder. A holder that
+	 * may not hold the duty states since when, so that the others do not wait for it.
 	 * @param nowNanos the current elapsed time in ns
 	 * @return the notice with an age of at least 1 ms and without a rank; empty if no
 	 * holder is known
 	 */
 	public Optional<DutyNotice> notice(long nowNanos) {
-		long age = (this.holder) ? 1 : Math.max(1, TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastHeardNanos));
+		long age = (this.holder && this.active) ? 1
+				: Math.max(1, TimeUnit.NANOSECONDS.toMillis(nowNanos - this.lastHeardNanos));
 		return stated(age, DutyNotice.NO_STANDBY);
 	}
 
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyReplay.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyReplay.java
@@ -206,6 +206,9 @@
 
 		String obstacle = "";
 
+		/** Whether the store turns only this daemon away. */
+		boolean turnedAway;
+
 		private Daemon(String name) {
 			this.name = name;
 		}
@@ -314,6 +317,10 @@
 
 		private void call(Runnable carriedOut, Runnable unanswered) {
 			DutyReplay.this.callCount++;
+			if (this.turnedAway) {
+				answer(2, unanswered);
+				return;
+			}
 			if (!DutyReplay.this.storeUp) {
 				answer(CALL_TIMEOUT_MS, unanswered);
 				return;
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
@@ -67,4 +67,19 @@
 		}
 	}
 
+	// Guards against a holder that cannot give the duty up at the store, and is taken for
+	// alive because its periodic messages tell of itself.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void aHolderThatKnowsThatItDoesNotReachTheStoreIsReplacedInTime(long seed) {
+		DutyReplay replay = new DutyReplay(7, seed);
+		replay.runFor(LATEST_FIRST_ORDERS_MS);
+		DutyReplay.Daemon holder = replay.holder().orElseThrow();
+		holder.turnedAway = true;
+		holder.obstacle = "the store is not reached";
+		replay.runFor(5_000);
+		assertThat(replay.longestGapMs).isLessThanOrEqualTo(LONGEST_GAP_MS);
+		assertThat(replay.msWithoutHolder()).isLessThanOrEqualTo(LONGEST_GAP_MS);
+	}
+
 }
