Replace a holder that the store turns away while it answers the others

A daemon whose peers read the store for it does not notice that the store turns it away. A holder whose calls have had no answer for 1 s is now treated like one that does not reach the store: it sends no notices, and a standby claims.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
@@ -56,6 +56,13 @@
 	/** Number of calls without an answer after which the longer time is used. */
 	private static final int SHORT_BACKOFFS = 5;
 
+	/**
+	 * Time without an answer after which a holder gives the duty up, in ns: longer than a
+	 * single call that fails. The store may turn away only this daemon, which does not
+	 * read the store itself if others read for it.
+	 */
+	private static final long STORE_LOSS_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	/** Number of times that the standbys are told that the duty was given up. */
 	private static final int RELEASE_NOTICES = 3;
 
@@ -113,6 +120,9 @@
 
 	private long lastFailureNanos;
 
+	/** When the first of the calls without an answer was noticed; valid only then. */
+	private long failingSinceNanos;
+
 	private final Map<CallOutcome, Long> calls = new EnumMap<>(CallOutcome.class);
 
 	private String reason = "no record was read";
@@ -189,6 +199,9 @@
 		if (!this.watch.mayUseRecords(nowNanos)) {
 			return "a daemon of an earlier release may take part";
 		}
+		if (this.duty.isHolder() && this.unansweredCalls > 0 && nowNanos - this.failingSinceNanos >= STORE_LOSS_NANOS) {
+			return "the store does not answer";
+		}
 		return (this.peers.isComplete(nowNanos)) ? "" : "no other daemon was heard yet";
 	}
 
@@ -255,6 +268,9 @@
 
 	private void onNoAnswer(long nowNanos) {
 		this.calls.merge(CallOutcome.UNANSWERED, 1L, Long::sum);
+		if (this.unansweredCalls == 0) {
+			this.failingSinceNanos = nowNanos;
+		}
 		this.unansweredCalls++;
 		this.lastFailureNanos = nowNanos;
 		this.duty.onNoAnswer();
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
@@ -82,4 +82,22 @@
 		assertThat(replay.msWithoutHolder()).isLessThanOrEqualTo(LONGEST_GAP_MS);
 	}
 
+	// Guards against a holder that is taken for alive and cannot give orders, because the
+	// store turns only this daemon away and others read the store for it.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void aHolderThatTheStoreTurnsAwayIsReplaced(long seed) {
+		DutyReplay replay = new DutyReplay(7, seed);
+		replay.runFor(LATEST_FIRST_ORDERS_MS);
+		DutyReplay.Daemon holder = replay.holder().orElseThrow();
+		holder.turnedAway = true;
+		for (int lost = 0; lost < 6; lost++) {
+			replay.loseEngine();
+		}
+		replay.runFor(4_000);
+		assertThat(replay.longestGapMs).isLessThanOrEqualTo(LONGEST_GAP_MS);
+		assertThat(replay.holder().orElseThrow()).isNotSameAs(holder);
+		assertThat(replay.holdsAllLayers()).isTrue();
+	}
+
 }
