Count the time that passed-on notices of the duty wait unread

Each daemon that passed on what it knew of the holder left out the time for which the datagram had waited to be read, up to 40 ms. DutyExtensionTests states the age with the added 40 ms, received later so that the start of the daemon does not hide it.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyExtension.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyExtension.java
@@ -14,6 +14,13 @@
 
 	private static final int FORMAT_VERSION = 1;
 
+	/**
+	 * Longest time that a datagram waits until it is read, in ms. It counts as part of
+	 * the age, since otherwise a notice that many daemons pass on would hardly grow
+	 * older.
+	 */
+	private static final long MAX_UNREAD_MS = DutyRunner.IDLE_INTERVAL_MS;
+
 	/** Size of the content before the notice. */
 	private static final int HEAD_BYTES = 2;
 
@@ -66,7 +73,7 @@
 		this.watch.onMessage(sender, Optional.of(!known || bytes[1] != 0));
 		if (known) {
 			DutyNotice.decode(Arrays.copyOfRange(bytes, HEAD_BYTES, bytes.length))
-				.map((notice) -> notice.passedOn(Math.max(1, notice.ageMs())))
+				.map((notice) -> notice.passedOn(MAX_UNREAD_MS + Math.max(1, notice.ageMs())))
 				.ifPresent((notice) -> this.duty.onNotice(notice, nowNanos));
 		}
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyExtensionTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyExtensionTests.java
@@ -26,8 +26,8 @@
 	private final DutyExtension extension = new DutyExtension(this.duty, this.watch, this.missing::incrementAndGet);
 
 	private void receive(byte... content) {
-		this.extension.onContent("a", "dc", Optional.of(content), TimeUnit.MILLISECONDS.toNanos(50));
-		this.watch.update(List.of("a"), TimeUnit.MILLISECONDS.toNanos(50));
+		this.extension.onContent("a", "dc", Optional.of(content), TimeUnit.MILLISECONDS.toNanos(150));
+		this.watch.update(List.of("a"), TimeUnit.MILLISECONDS.toNanos(150));
 	}
 
 	@Test
@@ -39,8 +39,8 @@
 		byte[] content = new DutyExtension(other, others, () -> {
 		}).content(TimeUnit.MILLISECONDS.toNanos(30)).orElseThrow();
 		receive(content);
-		assertThat(this.duty.notice(TimeUnit.MILLISECONDS.toNanos(100)))
-			.contains(new DutyNotice("c", 1, 7, 250, false, 80, DutyNotice.NO_STANDBY));
+		assertThat(this.duty.notice(TimeUnit.MILLISECONDS.toNanos(200)))
+			.contains(new DutyNotice("c", 1, 7, 250, false, 120, DutyNotice.NO_STANDBY));
 		assertThat(this.watch.mayUseRecords(LATER_NANOS)).isTrue();
 	}
 
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/duty/DutyRunnerTests.java
@@ -7,9 +7,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Replays deployments of seven daemons with the real coordinator. They guard against two
- * daemons that give orders at the same time, a long time without any, and calls to the
- * store while there is nothing to order.
+ * Replays deployments with the real coordinator. They guard against two daemons that give
+ * orders at the same time, a long time without any, and calls to the store while there is
+ * nothing to order.
  */
 class DutyRunnerTests {
 
@@ -39,6 +39,21 @@
 		assertThat(replay.orderCount).isGreaterThan(20);
 	}
 
+	// Guards against standbys that hear of an ended holder from each other for so long
+	// that
+	// they claim too late.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5 })
+	void theDutyMovesInTimeInADataCentreWithManyDaemons(long seed) {
+		DutyReplay replay = new DutyReplay(27, seed);
+		replay.runFor(LATEST_FIRST_ORDERS_MS);
+		for (int end = 0; end < 10; end++) {
+			replay.end(replay.holder().orElseThrow());
+			replay.runFor(5_000);
+			assertThat(replay.longestGapMs).as("end %s", end).isLessThanOrEqualTo(LONGEST_GAP_MS);
+		}
+	}
+
 	@Test
 	void aDeploymentWithNothingToOrderMakesNoCalls() {
 		DutyReplay replay = new DutyReplay(7, 1);
