--- a/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ExitCode.java
+++ b/comfreyslip-operator/src/main/java/org/comfreyslip/operator/ExitCode.java
@@ -5,6 +5,8 @@
 /**
  * Exit codes of the command. Scripts match on them, so a code keeps its meaning. The
  * codes 1 and 2 also state the result of {@code validate}; only then a result is printed.
+ * The first constants are in the order of their codes, by which the acceptance tests name
+ * the exit value of a process.
  */
 public enum ExitCode {
 
@@ -15,13 +17,6 @@
 	FAILED(1, "an error that no other code describes; the message names it",
 			"correct what the message names; report an internal error to the maintainers"),
 
-	/** The text that {@code validate} was given has warnings and no errors. */
-	WARNINGS(1, "of `validate`: the text has warnings and no errors",
-			"consider each warning before the text is proposed"),
-
-	/** The text that {@code validate} was given has errors. */
-	ERRORS(2, "of `validate`: the text has errors", "correct the errors and run 'validate' again"),
-
 	/** The arguments are wrong. */
 	USAGE(2, "the arguments are wrong; nothing was done", "see 'comfreyslip --help'"),
 
@@ -49,7 +44,14 @@
 
 	/** The daemon refused the operator's key. */
 	UNAUTHENTICATED(9, "a daemon refused the operator's key",
-			"give the key of an operator of the text in force with --key-file");
+			"give the key of an operator of the text in force with --key-file"),
+
+	/** The text that {@code validate} was given has warnings and no errors. */
+	WARNINGS(1, "of `validate`: the text has warnings and no errors",
+			"consider each warning before the text is proposed"),
+
+	/** The text that {@code validate} was given has errors. */
+	ERRORS(2, "of `validate`: the text has errors", "correct the errors and run 'validate' again");
 
 	private final int code;
 
