--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/duty/DutyRunner.java
@@ -314,8 +314,7 @@
 	}
 
 	// Others may be about to claim as well. With many daemons, the periodic messages
-	// reach
-	// them seconds later.
+	// reach them seconds later.
 	private void notifyOthers() {
 		this.duty.noticeTo(DutyNotice.NO_STANDBY).map(DutyNotice::encode).ifPresent((notice) -> {
 			List<String> receivers = new ArrayList<>(this.others);
