--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -60,7 +60,7 @@
 	}
 
 	synchronized void writeEntry() {
-		if (!this.registering || this.deployment.store.busy) {
+		if (!this.registering) {
 			return;
 		}
 		this.sequence++;
@@ -122,6 +122,12 @@
 		}
 	}
 
+	/** Reports that the server leaves. It goes on to serve. */
+	void drain() {
+		this.state = "draining";
+		writeEntry();
+	}
+
 	/** Ends the server: new connections are refused. */
 	@Override
 	public void close() throws IOException {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -30,8 +30,8 @@
 
 	private final List<Socket> open = new ArrayList<>();
 
-	/** While set, each call is answered 503: nothing was done. */
-	volatile boolean busy;
+	/** While set, each call of a daemon is answered 503: nothing was done. The operator and the servers are served. */
+	private volatile boolean turningAway;
 
 	Store() throws IOException {
 		this.listener = new ServerSocket();
@@ -76,7 +76,7 @@
 	}
 
 	private void answer(Head head, byte[] body, OutputStream out) throws IOException, InterruptedException {
-		if (this.busy) {
+		if (this.turningAway) {
 			respond(out, "503 Service Unavailable", new byte[0]);
 			return;
 		}
@@ -118,12 +118,12 @@
 		long end = System.nanoTime() + waitMs * 1_000_000;
 		while (from >= topic.records.size()) {
 			long left = (end - System.nanoTime()) / 1_000_000;
-			if (left <= 0 || this.busy) {
+			if (left <= 0 || this.turningAway) {
 				break;
 			}
 			wait(left);
 		}
-		if (this.busy) {
+		if (this.turningAway) {
 			respond(out, "503 Service Unavailable", new byte[0]);
 			return;
 		}
@@ -168,8 +168,8 @@
 		notifyAll();
 	}
 
-	synchronized void setBusy(boolean value) {
-		this.busy = value;
+	synchronized void setTurningAway(boolean value) {
+		this.turningAway = value;
 		notifyAll();
 	}
 
