--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -38,7 +38,7 @@
 	Deployment(Path recordFile) throws IOException {
 		this.record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
 		this.folder = Files.createTempDirectory("comfreyslip-review");
-		Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+		Runtime.getRuntime().addShutdownHook(new Thread(this::end));
 		record("trouble " + TROUBLE);
 	}
 
@@ -121,20 +121,23 @@
 		}
 	}
 
-	private void endProcesses() {
+	private void end() {
 		for (Daemon daemon : this.daemons) {
 			daemon.process.destroyForcibly();
 		}
+		try (Stream<Path> files = Files.walk(this.folder)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			// The folder is gone.
+		}
 	}
 
 	@Override
 	public void close() throws IOException {
-		endProcesses();
+		end();
 		this.store.close();
 		this.record.close();
-		try (Stream<Path> files = Files.walk(this.folder)) {
-			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
-		}
 	}
 
 	record Daemon(String name, String ip, Process process, Path output) {
--- a/review/standins/LeavingServer.java
+++ b/review/standins/LeavingServer.java
@@ -3,7 +3,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -35,61 +34,64 @@
 	private LeavingServer() {
 	}
 
-	public static void main(String[] arguments) throws Exception {
-		int exit;
-		try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
-			Server first = new Server(deployment, "i-1", "archive-app", "za", 0,
-					(head, in, out, socket) -> answer(deployment, head, in, out, socket, true));
-			new Server(deployment, "i-2", "archive-app", "za", 0,
-					(head, in, out, socket) -> answer(deployment, head, in, out, socket, false));
-			deployment.publishConfiguration(3, """
-					{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
-					"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":true}""",
-					"""
-					{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
-					"""
-					{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
-			Deployment.Daemon daemon = deployment.start(1, "za");
-			if (!daemon.awaitReady(30)) {
-				deployment.record("the daemon was never ready");
-				System.exit(2);
-			}
-			AtomicInteger lost = new AtomicInteger();
-			AtomicInteger served = new AtomicInteger();
-			List<Thread> threads = new ArrayList<>();
-			for (int client = 0; client < 6; client++) {
-				int number = client;
-				Thread thread = new Thread(() -> ask(deployment, daemon, number, served, lost));
-				thread.start();
-				threads.add(thread);
-			}
-			Thread.sleep(2_000);
-			if (Deployment.TROUBLE) {
-				deployment.store.setTurningAway(true);
-				deployment.record("the store turns the daemon away");
-			}
-			Thread.sleep(300);
-			leaving = true;
-			first.drain();
-			deployment.record("i-1 leaves; the store has accepted its report");
-			Thread.sleep(DRAIN_MS + 1_200);
-			first.close();
-			for (Socket socket : open) {
-				socket.close();
-			}
-			deployment.record("i-1 has exited");
-			Thread.sleep(1_000);
-			deployment.store.setTurningAway(false);
-			for (Thread thread : threads) {
-				thread.join();
-			}
-			deployment.record("DRAIN: " + late.size() + " requests reached i-1 later than " + DRAIN_MS
-					+ " ms after the daemon passed on an answer with Server-Leaving; " + served + " requests were served, "
-					+ lost + " that were accepted were cut off");
-			deployment.recordOutputs(10);
-			exit = (late.isEmpty()) ? (served.get() > 0) ? 0 : 2 : 1;
+	public static void main(String[] arguments) {
+		Case.run(arguments, LeavingServer::play);
+	}
+
+	private static int play(Deployment deployment) throws Exception {
+		Server first = new Server(deployment, "i-1", "archive-app", "za", 0,
+				(head, in, out, socket) -> answer(deployment, head, in, out, socket, true));
+		new Server(deployment, "i-2", "archive-app", "za", 0,
+				(head, in, out, socket) -> answer(deployment, head, in, out, socket, false));
+		deployment.publishConfiguration(3, """
+				{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
+				"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":true}""",
+				"""
+				{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
+				"""
+				{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
+		Deployment.Daemon daemon = deployment.start(1, "za");
+		if (!daemon.awaitReady(30)) {
+			deployment.record("the daemon was never ready");
+			return Case.COULD_NOT_RUN;
+		}
+		AtomicInteger lost = new AtomicInteger();
+		AtomicInteger served = new AtomicInteger();
+		List<Thread> threads = new ArrayList<>();
+		for (int client = 0; client < 6; client++) {
+			int number = client;
+			Thread thread = new Thread(() -> ask(deployment, daemon, number, served, lost));
+			thread.start();
+			threads.add(thread);
+		}
+		Thread.sleep(2_000);
+		if (Deployment.TROUBLE) {
+			deployment.store.setTurningAway(true);
+			deployment.record("the store turns the daemon away");
+		}
+		Thread.sleep(300);
+		leaving = true;
+		first.drain();
+		deployment.record("i-1 leaves; the store has accepted its report");
+		Thread.sleep(DRAIN_MS + 1_200);
+		first.close();
+		for (Socket socket : open) {
+			socket.close();
+		}
+		deployment.record("i-1 has exited");
+		Thread.sleep(1_000);
+		deployment.store.setTurningAway(false);
+		for (Thread thread : threads) {
+			thread.join();
+		}
+		deployment.record("DRAIN: " + late.size() + " requests reached i-1 later than " + DRAIN_MS
+				+ " ms after the daemon passed on an answer with Server-Leaving; " + served + " requests were served, "
+				+ lost + " that were accepted were cut off");
+		deployment.recordOutputs(10);
+		if (!late.isEmpty()) {
+			return Case.BROKEN;
 		}
-		System.exit(exit);
+		return (served.get() > 0) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
 	private static boolean answer(Deployment deployment, Head head, InputStream in, OutputStream out, Socket socket,
--- a/review/standins/LostReaders.java
+++ b/review/standins/LostReaders.java
@@ -3,7 +3,6 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -34,64 +33,68 @@
 				"TargetLatencyMs":100,"Priority":1,"Service":"%s","MaxAttempts":1,"Public":false}""".formatted(service);
 	}
 
-	public static void main(String[] arguments) throws Exception {
-		int exit;
-		try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
-			Map<String, String> ranBy = new ConcurrentHashMap<>();
-			List<Server> servers = new ArrayList<>();
-			for (String service : List.of("old-app", "new-app")) {
-				for (String zone : List.of("za", "zb", "zc")) {
-					servers.add(new Server(deployment, "i-" + service + "-" + zone, service, zone, 0,
-							(head, in, out, socket) -> answer(service, ranBy, head, in, out)));
-				}
-			}
-			deployment.publishConfiguration(3, route("old-app"), SERVICES, TENANTS);
-			List<Deployment.Daemon> daemons = new ArrayList<>();
-			String[] zones = { "za", "za", "za", "zb", "zb", "zb", "zc", "zc" };
-			for (int number = 0; number < zones.length; number++) {
-				daemons.add(deployment.start(number + 1, zones[number]));
-			}
-			for (Deployment.Daemon daemon : daemons) {
-				if (!daemon.awaitReady(40)) {
-					deployment.record(daemon.name() + " was never ready");
-					System.exit(2);
-				}
-			}
-			Thread.sleep(8_000);
-			List<Deployment.Daemon> killed = new ArrayList<>();
-			List<Deployment.Daemon> others = new ArrayList<>();
-			choose(daemons, killed, others);
-			deployment.record("readers of the store and zone zc, to be killed: " + killed.stream().map(Deployment.Daemon::name).toList());
-			for (int version = 4; version <= 6; version++) {
-				deployment.publishConfiguration(version, route("old-app"), SERVICES, TENANTS);
-				Thread.sleep(300);
-			}
-			if (Deployment.TROUBLE) {
-				for (Deployment.Daemon daemon : killed) {
-					daemon.process().destroyForcibly();
-				}
-				deployment.record("killed " + killed.size() + " of " + daemons.size());
+	public static void main(String[] arguments) {
+		Case.run(arguments, LostReaders::play);
+	}
+
+	private static int play(Deployment deployment) throws Exception {
+		Map<String, String> ranBy = new ConcurrentHashMap<>();
+		for (String service : List.of("old-app", "new-app")) {
+			for (String zone : List.of("za", "zb", "zc")) {
+				new Server(deployment, "i-" + service + "-" + zone, service, zone, 0,
+						(head, in, out, socket) -> answer(service, ranBy, head, in, out));
 			}
-			Thread.sleep(100);
-			deployment.publishConfiguration(7, route("new-app"), SERVICES, TENANTS);
-			long ack = System.nanoTime();
-			AtomicInteger wrong = new AtomicInteger();
-			AtomicInteger right = new AtomicInteger();
-			List<Thread> threads = new ArrayList<>();
-			for (Deployment.Daemon daemon : others) {
-				Thread thread = new Thread(() -> ask(deployment, daemon, ack, ranBy, wrong, right));
-				thread.start();
-				threads.add(thread);
+		}
+		deployment.publishConfiguration(3, route("old-app"), SERVICES, TENANTS);
+		List<Deployment.Daemon> daemons = new ArrayList<>();
+		String[] zones = { "za", "za", "za", "zb", "zb", "zb", "zc", "zc" };
+		for (int number = 0; number < zones.length; number++) {
+			daemons.add(deployment.start(number + 1, zones[number]));
+		}
+		for (Deployment.Daemon daemon : daemons) {
+			if (!daemon.awaitReady(40)) {
+				deployment.record(daemon.name() + " was never ready");
+				return Case.COULD_NOT_RUN;
 			}
-			for (Thread thread : threads) {
-				thread.join();
+		}
+		Thread.sleep(8_000);
+		List<Deployment.Daemon> killed = new ArrayList<>();
+		List<Deployment.Daemon> others = new ArrayList<>();
+		choose(daemons, killed, others);
+		deployment.record("readers of the store and zone zc, to be killed: "
+				+ killed.stream().map(Deployment.Daemon::name).toList());
+		if (killed.size() != 4) {
+			deployment.record("the daemons that read the store are not known");
+			return Case.COULD_NOT_RUN;
+		}
+		for (int version = 4; version <= 6; version++) {
+			deployment.publishConfiguration(version, route("old-app"), SERVICES, TENANTS);
+			Thread.sleep(300);
+		}
+		if (Deployment.TROUBLE) {
+			for (Deployment.Daemon daemon : killed) {
+				daemon.process().destroyForcibly();
 			}
-			deployment.record("CONFIG: later than " + CONFIG_APPLY_MS + " ms after the ack " + wrong
-					+ " requests were run by the old service and " + right + " by the new one");
-			deployment.recordOutputs(6);
-			exit = (wrong.get() > 0) ? 1 : (right.get() > 0) ? 0 : 2;
+			deployment.record("killed " + killed.size() + " of " + daemons.size());
+		}
+		Thread.sleep(100);
+		deployment.publishConfiguration(7, route("new-app"), SERVICES, TENANTS);
+		long ack = System.nanoTime();
+		AtomicInteger wrong = new AtomicInteger();
+		AtomicInteger right = new AtomicInteger();
+		List<Thread> threads = new ArrayList<>();
+		for (Deployment.Daemon daemon : others) {
+			Thread thread = new Thread(() -> ask(deployment, daemon, ack, ranBy, wrong, right));
+			thread.start();
+			threads.add(thread);
+		}
+		for (Thread thread : threads) {
+			thread.join();
 		}
-		System.exit(exit);
+		deployment.record("CONFIG: later than " + CONFIG_APPLY_MS + " ms after the ack " + wrong
+				+ " requests were run by the old service and " + right + " by the new one");
+		deployment.recordOutputs(6);
+		return (wrong.get() > 0) ? Case.BROKEN : (right.get() > 0) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
 	// Kills both daemons of the zone of two and the daemons that read the store for the other zones.
--- a/review/standins/SpoiledHead.java
+++ b/review/standins/SpoiledHead.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.regex.Pattern;
 
 /**
@@ -24,43 +23,43 @@
 	private SpoiledHead() {
 	}
 
-	public static void main(String[] arguments) throws Exception {
-		int exit;
-		try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
-			new Server(deployment, "i-1", "archive-app", "za", 0,
-					(head, in, out, socket) -> answer(deployment, head, in, out));
-			deployment.publishConfiguration(3, """
-					{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
-					"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
-					"""
-					{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
-					"""
-					{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
-			Deployment.Daemon daemon = deployment.start(1, "za");
-			if (!daemon.awaitReady(30)) {
-				deployment.record("the daemon was never ready");
-				System.exit(2);
-			}
-			int broken = 0;
-			int sound = 0;
-			for (int number = 0; number < REQUESTS; number++) {
-				String id = "a" + number;
-				String bytes = request(daemon, id);
-				String fault = findFault(bytes);
-				sound += (fault.isEmpty() && bytes.startsWith("HTTP/1.1 200")) ? 1 : 0;
-				boolean success = bytes.startsWith("HTTP/1.1 200") && bytes.contains("X-Server-Signature");
-				if (success && !fault.isEmpty()) {
-					broken++;
-				}
-				deployment.record("client " + id + " got " + printable(bytes.split("\r\n\r\n")[0])
-						+ ((fault.isEmpty()) ? "" : ", which is no answer: " + printable(fault)));
+	public static void main(String[] arguments) {
+		Case.run(arguments, SpoiledHead::play);
+	}
+
+	private static int play(Deployment deployment) throws Exception {
+		new Server(deployment, "i-1", "archive-app", "za", 0,
+				(head, in, out, socket) -> answer(deployment, head, in, out));
+		deployment.publishConfiguration(3, """
+				{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
+				"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
+				"""
+				{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
+				"""
+				{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
+		Deployment.Daemon daemon = deployment.start(1, "za");
+		if (!daemon.awaitReady(30)) {
+			deployment.record("the daemon was never ready");
+			return Case.COULD_NOT_RUN;
+		}
+		int broken = 0;
+		int sound = 0;
+		for (int number = 0; number < REQUESTS; number++) {
+			String id = "a" + number;
+			String bytes = request(daemon, id);
+			String fault = findFault(bytes);
+			sound += (fault.isEmpty() && bytes.startsWith("HTTP/1.1 200")) ? 1 : 0;
+			boolean success = bytes.startsWith("HTTP/1.1 200") && bytes.contains("X-Server-Signature");
+			if (success && !fault.isEmpty()) {
+				broken++;
 			}
-			deployment.record("MIXED: " + broken + " of " + REQUESTS + " successes were no answers in the protocol; " + sound
-					+ " were sound");
-			deployment.recordOutputs(5);
-			exit = (broken > 0) ? 1 : (sound > 0) ? 0 : 2;
+			deployment.record("client " + id + " got " + printable(bytes.split("\r\n\r\n")[0])
+					+ ((fault.isEmpty()) ? "" : ", which is no answer: " + printable(fault)));
 		}
-		System.exit(exit);
+		deployment.record("MIXED: " + broken + " of " + REQUESTS + " successes were no answers in the protocol; " + sound
+				+ " were sound");
+		deployment.recordOutputs(5);
+		return (broken > 0) ? Case.BROKEN : (sound > 0) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
 	private static boolean answer(Deployment deployment, Head head, InputStream in, OutputStream out)
--- a/review/standins/StrayBytes.java
+++ b/review/standins/StrayBytes.java
@@ -2,7 +2,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -19,47 +18,47 @@
 	private StrayBytes() {
 	}
 
-	public static void main(String[] arguments) throws Exception {
-		int exit;
+	public static void main(String[] arguments) {
+		Case.run(arguments, StrayBytes::play);
+	}
+
+	private static int play(Deployment deployment) throws Exception {
 		Map<String, Integer> answered = new ConcurrentHashMap<>();
-		try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
-			new Server(deployment, "i-1", "archive-app", "za", 0,
-					(head, in, out, socket) -> answer(deployment, answered, head, in, out));
-			deployment.publishConfiguration(3, """
-					{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
-					"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
-					"""
-					{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
-					"""
-					{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
-			Deployment.Daemon daemon = deployment.start(1, "za");
-			if (!daemon.awaitReady(30)) {
-				deployment.record("the daemon was never ready");
-				System.exit(2);
-			}
-			int wrong = 0;
-			int right = 0;
-			try (Client client = new Client(daemon.callers())) {
-				for (int number = 0; number < REQUESTS; number++) {
-					String id = "a" + number;
-					int status = client.send("POST", "/stamp/x", id, 1_000);
-					int given = answered.getOrDefault(id, 0);
-					boolean asSuccess = status / 100 == 2 && given / 100 != 2;
-					wrong += (asSuccess) ? 1 : 0;
-					right += (status == given) ? 1 : 0;
-					deployment.record("client " + id + " got " + status + " signature "
-							+ client.field("X-Server-Signature") + ", the server answered " + given
-							+ ((asSuccess) ? ": a success where the server had answered with a failure" : ""));
-					Thread.sleep(10);
-				}
+		new Server(deployment, "i-1", "archive-app", "za", 0,
+				(head, in, out, socket) -> answer(deployment, answered, head, in, out));
+		deployment.publishConfiguration(3, """
+				{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":1000,
+				"TargetLatencyMs":100,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
+				"""
+				{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
+				"""
+				{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
+		Deployment.Daemon daemon = deployment.start(1, "za");
+		if (!daemon.awaitReady(30)) {
+			deployment.record("the daemon was never ready");
+			return Case.COULD_NOT_RUN;
+		}
+		int wrong = 0;
+		int right = 0;
+		try (Client client = new Client(daemon.callers())) {
+			for (int number = 0; number < REQUESTS; number++) {
+				String id = "a" + number;
+				int status = client.send("POST", "/stamp/x", id, 1_000);
+				int given = answered.getOrDefault(id, 0);
+				boolean asSuccess = status / 100 == 2 && given / 100 != 2;
+				wrong += (asSuccess) ? 1 : 0;
+				right += (status == given) ? 1 : 0;
+				deployment.record("client " + id + " got " + status + " signature "
+						+ client.field("X-Server-Signature") + ", the server answered " + given
+						+ ((asSuccess) ? ": a success where the server had answered with a failure" : ""));
+				Thread.sleep(10);
 			}
-			deployment.record("MIXED: " + wrong + " of " + REQUESTS
-					+ " requests that the server answered with a failure were answered with a success; " + right
-					+ " got the server's status");
-			deployment.recordOutputs(5);
-			exit = (wrong > 0) ? 1 : (right > 0) ? 0 : 2;
 		}
-		System.exit(exit);
+		deployment.record("MIXED: " + wrong + " of " + REQUESTS
+				+ " requests that the server answered with a failure were answered with a success; " + right
+				+ " got the server's status");
+		deployment.recordOutputs(5);
+		return (wrong > 0) ? Case.BROKEN : (right > 0) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
 	private static boolean answer(Deployment deployment, Map<String, Integer> answered, Head head, InputStream in,
--- a/review/standins/TruncatedAnswer.java
+++ b/review/standins/TruncatedAnswer.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.Arrays;
 
 /**
@@ -22,38 +21,37 @@
 	private TruncatedAnswer() {
 	}
 
-	public static void main(String[] arguments) throws Exception {
-		int exit = 2;
-		try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
-			Server server = new Server(deployment, "i-1", "archive-app", "za", 0,
-					(head, in, out, socket) -> answer(deployment, head, in, out, socket));
-			deployment.publishConfiguration(3, """
-					{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":8000,
-					"TargetLatencyMs":500,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
-					"""
-					{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
-					"""
-					{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
-			Deployment.Daemon daemon = deployment.start(1, "za");
-			if (!daemon.awaitReady(30)) {
-				deployment.record("the daemon was never ready");
-				System.exit(2);
-			}
-			int broken = 0;
-			int whole = 0;
-			for (int number = 1; number <= REQUESTS; number++) {
-				int result = request(deployment, daemon, number);
-				broken += (result == 1) ? 1 : 0;
-				whole += (result == 0) ? 1 : 0;
-			}
-			deployment.record("MIXED: " + broken + " of " + REQUESTS + " answers looked complete and were not; " + whole
-					+ " were whole");
-			deployment.recordOutputs(12);
-			boolean valid = Deployment.TROUBLE || whole == REQUESTS;
-			exit = (broken > 0) ? 1 : (valid) ? 0 : 2;
-			server.close();
+	public static void main(String[] arguments) {
+		Case.run(arguments, TruncatedAnswer::play);
+	}
+
+	private static int play(Deployment deployment) throws Exception {
+		new Server(deployment, "i-1", "archive-app", "za", 0,
+				(head, in, out, socket) -> answer(deployment, head, in, out, socket));
+		deployment.publishConfiguration(3, """
+				{"Name":"r-1","Host":"h.example","PathPrefix":"/stamp/","Kind":"non_idempotent","TimeoutMs":8000,
+				"TargetLatencyMs":500,"Priority":1,"Service":"archive-app","MaxAttempts":1,"Public":false}""",
+				"""
+				{"Name":"archive-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""",
+				"""
+				{"Name":"t-1","ApiKeys":["key1"],"Priority":1}""");
+		Deployment.Daemon daemon = deployment.start(1, "za");
+		if (!daemon.awaitReady(30)) {
+			deployment.record("the daemon was never ready");
+			return Case.COULD_NOT_RUN;
+		}
+		int broken = 0;
+		int whole = 0;
+		for (int number = 1; number <= REQUESTS; number++) {
+			int result = request(deployment, daemon, number);
+			broken += (result == 1) ? 1 : 0;
+			whole += (result == 0) ? 1 : 0;
 		}
-		System.exit(exit);
+		deployment.record("MIXED: " + broken + " of " + REQUESTS + " answers looked complete and were not; " + whole
+				+ " were whole");
+		deployment.recordOutputs(12);
+		boolean valid = Deployment.TROUBLE || whole == REQUESTS;
+		return (broken > 0) ? Case.BROKEN : (valid) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
 	private static byte[] wholeAnswer(String attemptId) {
