--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.."
-exec timeout 110 java -Xmx256m -cp review/target SpoiledHead review/5/record.txt
+exec timeout 110 java -Xmx256m -cp review/target LostReaders review/5/record.txt
