--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -60,6 +60,7 @@
 				probe.bind(new InetSocketAddress(InetAddress.getByName(ip), port));
 			}
 		}
+		int storePort = this.store.openPort();
 		Path settings = this.folder.resolve(name + ".json");
 		Files.writeString(settings, """
 				{"NodeName":"%s","Role":"entry","MachineClass":"edge","Serves":["edge"],"Ip":"%s","Zone":"%s",
@@ -77,14 +78,14 @@
 				"Platform":{"Address":"%s","form":"log","WritesPerS":400,"ReadsPerS":2000,"parts":12,"AppendMs":2.0,
 				"PartitionMbS":20.0,"ReadMbS":80.0,"RecordBytes":262144,"CallBytes":2097152,"keep_s":300,
 				"PartitionMb":200,"TtlMinMs":1000}}
-				""".formatted(name, ip, zone, ip, ip, this.store.address()));
+				""".formatted(name, ip, zone, ip, ip, "127.0.0.1:" + storePort));
 		Path output = this.folder.resolve(name + ".log");
 		ProcessBuilder builder = new ProcessBuilder(command()).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
 		Map<String, String> environment = builder.environment();
 		environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
 		environment.put("COMFREYSLIP_NODE_FILE", settings.toString());
-		Daemon daemon = new Daemon(name, ip, builder.start(), output);
+		Daemon daemon = new Daemon(name, ip, storePort, builder.start(), output);
 		this.daemons.add(daemon);
 		record("started " + name + " pid " + daemon.process.pid());
 		return daemon;
@@ -140,7 +141,7 @@
 		this.record.close();
 	}
 
-	record Daemon(String name, String ip, Process process, Path output) {
+	record Daemon(String name, String ip, int storePort, Process process, Path output) {
 
 		InetSocketAddress callers() {
 			return new InetSocketAddress(this.ip, 8227);
--- a/review/standins/LostReaders.java
+++ b/review/standins/LostReaders.java
@@ -17,6 +17,8 @@
 
 	private static final int CONFIG_APPLY_MS = 2_000;
 
+	private static final int DOWN_MS = 2_000;
+
 	private static final String SERVICES = """
 			{"Name":"old-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false},
 			{"Name":"new-app","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}""";
@@ -76,6 +78,8 @@
 				daemon.process().destroyForcibly();
 			}
 			deployment.record("killed " + killed.size() + " of " + daemons.size());
+			Thread restart = new Thread(() -> startAgain(deployment, daemons, killed, zones));
+			restart.start();
 		}
 		Thread.sleep(100);
 		deployment.publishConfiguration(7, route("new-app"), SERVICES, TENANTS);
@@ -97,6 +101,23 @@
 		return (wrong.get() > 0) ? Case.BROKEN : (right.get() > 0) ? Case.HELD : Case.COULD_NOT_RUN;
 	}
 
+	private static void startAgain(Deployment deployment, List<Deployment.Daemon> daemons,
+			List<Deployment.Daemon> killed, String[] zones) {
+		try {
+			Thread.sleep(DOWN_MS);
+			for (Deployment.Daemon daemon : killed) {
+				int index = daemons.indexOf(daemon);
+				deployment.start(index + 1, zones[index]);
+			}
+		}
+		catch (IOException ex) {
+			deployment.record("a daemon could not be started again: " + ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Kills both daemons of the zone of two and the daemons that read the store for the other zones.
 	private static void choose(List<Deployment.Daemon> daemons, List<Deployment.Daemon> killed,
 			List<Deployment.Daemon> others) throws IOException {
