End a send as broken off when the write of its request fails

Cause: a response without a length ends with its connection. While the rest of the request waits to be written, the write meets a reset before the read does. It takes the socket's error and closes the channel, and the decoder takes that for the end of the response. EndpointConnection ignored the result of the write.

Change: a write that fails other than by the end of the connection ends the send as WRITE_FAILED. An orderly end during the write still completes a response. The same fault in HttpControlClient, which calls the store and engines, is fixed the same way. Sends that break off are counted by their cause.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryMetrics.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import org.HdrHistogram.Histogram;
+import org.comfreyslip.entry.http.SendFailureCause;
 
 /**
  * Counters and latency histograms of the daemon, exposed in the Prometheus text format.
@@ -24,6 +25,8 @@
 
 	private final Map<Count, Long> counts = new EnumMap<>(Count.class);
 
+	private final Map<SendFailureCause, Long> brokenSends = new EnumMap<>(SendFailureCause.class);
+
 	private final Map<Time, Histogram> times = new EnumMap<>(Time.class);
 
 	/**
@@ -34,6 +37,14 @@
 		this.counts.merge(count, 1L, Long::sum);
 	}
 
+	/**
+	 * Counts a send to an endpoint that ended without a complete response.
+	 * @param cause why it ended
+	 */
+	public void countBrokenSend(SendFailureCause cause) {
+		this.brokenSends.merge(cause, 1L, Long::sum);
+	}
+
 	/**
 	 * Records a time in a histogram.
 	 * @param time the histogram
@@ -66,6 +77,13 @@
 				.append(value(count))
 				.append('\n');
 		}
+		for (SendFailureCause cause : SendFailureCause.values()) {
+			text.append("comfreyslip_sends_broken_total{cause=\"")
+				.append(cause.name().toLowerCase(Locale.ROOT))
+				.append("\"} ")
+				.append(this.brokenSends.getOrDefault(cause, 0L))
+				.append('\n');
+		}
 		this.times.forEach((time, histogram) -> write(text, time, histogram));
 		return text.toString();
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CrashSuspicion.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CrashSuspicion.java
@@ -77,7 +77,7 @@
 	 * @return whether the connection was closed before the request was proven harmless
 	 */
 	boolean isPossible(SendFailureCause cause, SendProgress progress, long nowNanos) {
-		return cause == SendFailureCause.CLOSED && !this.proven && !progress.isProven(nowNanos);
+		return cause.isConnectionLost() && !this.proven && !progress.isProven(nowNanos);
 	}
 
 	/**
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointConnection.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.http;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -59,6 +60,11 @@
 	/** Whether the write of the request has ended. */
 	private boolean requestWritten;
 
+	/**
+	 * Whether the write of the request failed, other than by the end of the connection.
+	 */
+	private boolean writeFailed;
+
 	private boolean headReceived;
 
 	private boolean responseComplete;
@@ -103,6 +109,7 @@
 		this.listener = newListener;
 		this.attemptId = newAttemptId;
 		this.requestWritten = false;
+		this.writeFailed = false;
 		this.headReceived = false;
 		this.responseComplete = false;
 		this.skippedHeads = 0;
@@ -112,7 +119,13 @@
 	void writeRequest(FullHttpRequest request) {
 		this.listener.onRequestWriteStarted();
 		ChannelFuture future = this.channel.writeAndFlush(request);
-		future.addListener((done) -> this.requestWritten = true);
+		future.addListener((done) -> onWriteEnded(done.cause()));
+	}
+
+	// The cause is null if the whole request was written.
+	private void onWriteEnded(Throwable cause) {
+		this.requestWritten = true;
+		this.writeFailed = cause != null && !(cause instanceof ClosedChannelException);
 	}
 
 	boolean isAssigned() {
@@ -213,7 +226,12 @@
 		if (content.content().isReadable()) {
 			this.listener.onResponseContent(content.content());
 		}
-		if (last && this.listener != null) {
+		if (last && this.writeFailed) {
+			// The write took the socket's error, so that a reset looks like the end of
+			// a response without a length.
+			failSend(SendFailureCause.WRITE_FAILED);
+		}
+		else if (last && this.listener != null) {
 			this.responseComplete = true;
 			this.awaitingFirstResponse = false;
 		}
@@ -260,14 +278,14 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		finishCompletedResponse();
-		failSend(SendFailureCause.CLOSED);
+		failSend((this.writeFailed) ? SendFailureCause.WRITE_FAILED : SendFailureCause.CLOSED);
 	}
 
 	private void failSend(SendFailureCause cause) {
 		ResponseListener failed = this.listener;
 		this.listener = null;
 		close();
-		if (failed != null && cause == SendFailureCause.CLOSED && this.awaitingFirstResponse && !this.headReceived) {
+		if (failed != null && cause.isConnectionLost() && this.awaitingFirstResponse && !this.headReceived) {
 			this.pool.observer().onClosedUnanswered(this.target);
 		}
 		if (failed != null) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/HttpControlClient.java
@@ -1,6 +1,7 @@
 package org.comfreyslip.entry.http;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -78,7 +79,7 @@
 		this.timeoutTask = this.loop.schedule(() -> fail("no response within " + timeoutMs + " ms"), timeoutMs,
 				TimeUnit.MILLISECONDS);
 		if (this.channel != null && this.channel.isActive()) {
-			this.channel.writeAndFlush(request);
+			write(request, callback);
 			return;
 		}
 		connect(request, callback);
@@ -100,7 +101,7 @@
 			}
 			else if (future.isSuccess()) {
 				this.channel = future.channel();
-				this.channel.writeAndFlush(request);
+				write(request, callback);
 			}
 			else {
 				request.release();
@@ -109,6 +110,22 @@
 		});
 	}
 
+	// A failed write takes the error of the socket, so that a response without a length
+	// would end as if it were complete.
+	private void write(FullHttpRequest request, Consumer<CallResult> callback) {
+		this.channel.writeAndFlush(request).addListener((written) -> {
+			if (written.cause() != null && !(written.cause() instanceof ClosedChannelException)) {
+				this.loop.execute(() -> failWrite(callback, written.cause()));
+			}
+		});
+	}
+
+	private void failWrite(Consumer<CallResult> callback, Throwable cause) {
+		if (this.pendingCallback == callback) {
+			fail("the request could not be written: " + cause.getMessage());
+		}
+	}
+
 	private void fail(String reason) {
 		if (this.channel != null) {
 			this.channel.close();
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RequestLog.java
@@ -137,6 +137,7 @@
 	 */
 	void recordBrokenSend(String requestId, Endpoint endpoint, SendFailureCause cause, String progress,
 			List<String> promptParts, String digest) {
+		this.metrics.countBrokenSend(cause);
 		EntryLog.write(EntryEvent.SEND_BROKEN, requestId, "endpoint", endpoint.id(), "cause", cause, "progress",
 				progress, "parts", promptParts.stream().limit(MAX_LOGGED_PARTS).toList(), "digest", digest);
 	}
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
@@ -15,6 +15,12 @@
 	/** The connection was closed. */
 	CLOSED(true, true, FaultKind.DECLINED),
 
+	/**
+	 * The connection was reset while the request was being written, so that the end of
+	 * the response, if it has begun, is unknown.
+	 */
+	WRITE_FAILED(true, true, FaultKind.DECLINED),
+
 	/**
 	 * The bytes received are not a valid response, or not the response to this request.
 	 */
@@ -49,6 +55,14 @@
 		return this.mayHaveRun;
 	}
 
+	/**
+	 * Tells whether an open connection to the target ended.
+	 * @return whether it was closed or reset
+	 */
+	public boolean isConnectionLost() {
+		return this == CLOSED || this == WRITE_FAILED;
+	}
+
 	/**
 	 * Returns the fault to record against the endpoint that the request was sent to.
 	 * @return the kind of fault; empty if there is none to record
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/EntryMetricsTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/EntryMetricsTests.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry;
 
+import org.comfreyslip.entry.http.SendFailureCause;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,6 +20,13 @@
 		assertThat(this.metrics.text()).contains("comfreyslip_served_total 1\n");
 	}
 
+	@Test
+	void brokenSendsAreCountedByCause() {
+		this.metrics.countBrokenSend(SendFailureCause.WRITE_FAILED);
+		assertThat(this.metrics.text()).contains("comfreyslip_sends_broken_total{cause=\"write_failed\"} 1\n",
+				"comfreyslip_sends_broken_total{cause=\"closed\"} 0\n");
+	}
+
 	@Test
 	void timesAreWrittenAsQuantilesWithACount() {
 		for (int ms = 1; ms <= 100; ms++) {
