End the run of a stream whose event ids do not increase

Cause: EventFramer dropped every event whose id was not larger than the largest one so far. That is meant for a new run, which may repeat events; within one run it hides a fault of the endpoint. Characters that are no digits were skipped within an id.

Change: EventSequence tells repeated events from those out of order. A run with an id that is no number or does not increase ends as GARBLED and is resumed at another endpoint, or broken off. The run cannot simply be ended at the smaller id: the spoiled event would have been passed on, and the stream would be resumed after 97. So an event that lies further ahead than any step before is held back until a larger id of its run, or the orderly end, confirms it.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -51,7 +51,7 @@
 
 	private final CallerResponse callerResponse;
 
-	private final EventFramer framer = new EventFramer();
+	private final EventFramer framer;
 
 	/** Whether the final response, or the end of the stream, has been decided. */
 	private boolean finished;
@@ -63,6 +63,7 @@
 		this.caller = caller;
 		this.callerRequest = callerRequest;
 		this.requestFields = router.headers().readRequest(callerRequest.head());
+		this.framer = new EventFramer(this.requestFields.lastEventId());
 		this.callerResponse = new CallerResponse(caller, router.headers(), id(), isOfOtherDaemon());
 		this.attempts = new SendAttempts(callerRequest.envelope(), router.faults()::hasExitedUnexpectedly);
 	}
@@ -159,6 +160,7 @@
 		this.send = new SendState(target, this.router.buffers(), now);
 		this.activity.onProgress(now);
 		this.attempts.onSend(target);
+		this.framer.beginRun();
 		Optional<Long> resumeAfter = this.framer.lastEventId().or(this.requestFields::lastEventId);
 		OutgoingRequest request = new OutgoingRequest(this.callerRequest, id(), this.admitted,
 				Math.max(1, this.deadline.remainingMs(now)), resumeAfter,
@@ -218,13 +220,19 @@
 		content.readBytes(bytes);
 		long eventsBefore = this.framer.eventCount();
 		byte[] events = this.framer.extractNewEvents(bytes);
-		if (this.framer.exceedsLimit()) {
-			this.send.connection().get().failBecauseOf(SendFailureCause.ENDLESS);
-			return;
-		}
 		if (this.framer.eventCount() > eventsBefore) {
 			onEventsReceived(System.nanoTime());
 		}
+		passOn(events);
+		if (this.framer.exceedsLimit() || this.framer.isMalformed()) {
+			this.caller.flush();
+			this.send.connection()
+				.get()
+				.failBecauseOf((this.framer.isMalformed()) ? SendFailureCause.GARBLED : SendFailureCause.ENDLESS);
+		}
+	}
+
+	private void passOn(byte[] events) {
 		if (events.length > 0) {
 			startStreamIfNeeded();
 			this.caller.writeStreamContent(events);
@@ -304,6 +312,7 @@
 			this.suspicion.onAnswered(now);
 		}
 		this.router.results().onStreamServed(this.send.target(), now);
+		passOn(this.framer.finish());
 		startStreamIfNeeded();
 		finish(Outcome.SERVED, "stream");
 		this.caller.endStreamedResponse();
@@ -448,7 +457,6 @@
 			this.attempts.exclude(endpointId);
 		}
 		this.attempts.recordUnknownOutcome();
-		this.framer.dropPartialEvent();
 		if (this.suspicion.isPossible(cause, this.send.progress(), now)) {
 			if (path().isEmpty()) {
 				this.router.checkWhetherEnded(this.send.endpoint());
@@ -483,7 +491,6 @@
 			return;
 		}
 		this.attempts.recordUnknownOutcome();
-		this.framer.dropPartialEvent();
 		this.attempts.recordRun(this.send.target());
 		boolean mayRunAgain = this.admitted.route().mayRunAgain()
 				&& this.attempts.mayRepeat(this.admitted.route(), this.callerResponse.isStreamStarted());
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/stream/EventFramer.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/stream/EventFramer.java
@@ -1,5 +1,6 @@
 package org.comfreyslip.entry.stream;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
@@ -7,7 +8,8 @@
 /**
  * Splits the bytes of an event stream at event boundaries (blank lines), so that a caller
  * never receives a partial event whose rest does not follow. A resumed stream may repeat
- * events; those up to the last one that was passed on are dropped.
+ * events; those up to the last one that was passed on are dropped. An event whose id
+ * leaves the sequence is held back until the next one confirms it.
  */
 public final class EventFramer {
 
@@ -23,33 +25,51 @@
 	 */
 	private static final int MAX_COMMENT_BYTES = 64 << 10;
 
+	/** Most digits of an id, so that it fits a long. */
+	private static final int MAX_ID_DIGITS = 18;
+
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
 	private byte[] pending = new byte[256];
 
 	private int pendingLength;
 
-	private Optional<Long> lastEventId = Optional.empty();
+	private final EventSequence sequence;
+
+	/** The event that is held back, and what followed it without an id. */
+	private final ByteArrayOutputStream heldBack = new ByteArrayOutputStream();
+
+	/** Whether the current run sent an id that no sound one has there. */
+	private boolean malformed;
 
-	/** Events that were passed on, without comments. */
+	/** Complete events, without comments. */
 	private long eventCount;
 
 	/** Bytes of comments since the last event. */
 	private long commentBytes;
 
+	/**
+	 * Creates a framer of a stream that has not begun.
+	 * @param startAfter id of the last event that the caller has from an earlier stream
+	 * that this one continues; empty if it continues none
+	 */
+	public EventFramer(Optional<Long> startAfter) {
+		this.sequence = new EventSequence(startAfter.orElse(0L));
+	}
+
 	/**
 	 * Adds bytes of the stream and returns the events that they complete.
 	 * @param bytes the next bytes; may end inside an event
 	 * @return the bytes of all complete events that were not passed on before, unchanged,
-	 * and of the comments between them; may be empty
+	 * and of the comments between them, up to the first event that is malformed or held
+	 * back; may be empty
 	 */
 	public byte[] extractNewEvents(byte[] bytes) {
 		append(bytes);
-		byte[] newEvents = new byte[this.pendingLength];
-		int newLength = 0;
+		ByteArrayOutputStream newEvents = new ByteArrayOutputStream(this.pendingLength + this.heldBack.size());
 		int start = 0;
 		int end = findEventEnd(start);
-		while (end > 0) {
+		while (end > 0 && !this.malformed) {
 			if (isComment(start, end)) {
 				this.commentBytes += end - start;
 			}
@@ -57,16 +77,52 @@
 				this.commentBytes = 0;
 				this.eventCount++;
 			}
-			if (isNew(start, end)) {
-				System.arraycopy(this.pending, start, newEvents, newLength, end - start);
-				newLength += end - start;
-			}
+			passOn(start, end, newEvents);
 			start = end;
 			end = findEventEnd(start);
 		}
 		this.pendingLength -= start;
 		System.arraycopy(this.pending, start, this.pending, 0, this.pendingLength);
-		return Arrays.copyOf(newEvents, newLength);
+		return newEvents.toByteArray();
+	}
+
+	// Adds an event to those that are passed on, holds it back or drops it.
+	private void passOn(int start, int end, ByteArrayOutputStream newEvents) {
+		int value = findIdValue(start, end);
+		if (value < 0) {
+			ByteArrayOutputStream target = (this.heldBack.size() > 0) ? this.heldBack : newEvents;
+			target.write(this.pending, start, end - start);
+			return;
+		}
+		EventSequence.Position position = this.sequence.add(parseId(value));
+		if (position == EventSequence.Position.OUT_OF_ORDER) {
+			this.malformed = true;
+			return;
+		}
+		newEvents.writeBytes(takeHeldBack());
+		switch (position) {
+			case NEXT -> newEvents.write(this.pending, start, end - start);
+			case UNCONFIRMED -> this.heldBack.write(this.pending, start, end - start);
+			default -> {
+				// Repeated events are dropped.
+			}
+		}
+	}
+
+	private byte[] takeHeldBack() {
+		byte[] taken = this.heldBack.toByteArray();
+		this.heldBack.reset();
+		return taken;
+	}
+
+	/**
+	 * Returns what is held back, since the stream ended in order after it.
+	 * @return the bytes of the event that is held back and of what followed it; may be
+	 * empty
+	 */
+	public byte[] finish() {
+		this.sequence.confirm();
+		return takeHeldBack();
 	}
 
 	private void append(byte[] bytes) {
@@ -108,46 +164,34 @@
 		return true;
 	}
 
-	// An event without an id is always new.
-	private boolean isNew(int start, int end) {
-		Optional<Long> id = findEventId(start, end);
-		if (id.isEmpty()) {
-			return true;
-		}
-		if (this.lastEventId.isPresent() && id.get() <= this.lastEventId.get()) {
-			return false;
-		}
-		this.lastEventId = id;
-		return true;
-	}
-
-	private Optional<Long> findEventId(int start, int end) {
+	// Returns the index of the value of an event's id, or -1 if the event has none.
+	private int findIdValue(int start, int end) {
 		int index = start;
 		while (index < end) {
 			if (index + ID_FIELD.length < end
 					&& Arrays.equals(this.pending, index, index + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
-				return parseNumber(index + ID_FIELD.length, end);
+				return index + ID_FIELD.length;
 			}
 			while (index < end && this.pending[index] != '\n') {
 				index++;
 			}
 			index++;
 		}
-		return Optional.empty();
+		return -1;
 	}
 
-	// Parses the decimal digits up to the end of the line and ignores other characters.
-	private Optional<Long> parseNumber(int start, int end) {
+	// Parses the value of an id up to the end of its line; negative if it is no number.
+	private long parseId(int start) {
+		int index = (this.pending[start] == ' ') ? start + 1 : start;
+		int first = index;
 		long value = 0;
-		int digits = 0;
-		for (int index = start; index < end && this.pending[index] != '\n'; index++) {
-			byte next = this.pending[index];
-			if (next >= '0' && next <= '9') {
-				value = value * 10 + next - '0';
-				digits++;
-			}
+		while (this.pending[index] >= '0' && this.pending[index] <= '9' && index - first < MAX_ID_DIGITS) {
+			value = value * 10 + this.pending[index] - '0';
+			index++;
 		}
-		return (digits > 0) ? Optional.of(value) : Optional.empty();
+		boolean lineEnds = this.pending[index] == '\n'
+				|| (this.pending[index] == '\r' && this.pending[index + 1] == '\n');
+		return (index > first && lineEnds) ? value : -1;
 	}
 
 	/**
@@ -155,7 +199,7 @@
 	 * @return the id; empty before the first event that has one
 	 */
 	public Optional<Long> lastEventId() {
-		return this.lastEventId;
+		return this.sequence.lastPassed();
 	}
 
 	/**
@@ -167,14 +211,23 @@
 		return this.eventCount;
 	}
 
+	/**
+	 * Tells whether the current run sent an id that is no number or not larger than the
+	 * one before it. Its further events are not passed on.
+	 * @return whether it did
+	 */
+	public boolean isMalformed() {
+		return this.malformed;
+	}
+
 	/**
 	 * Tells whether the bytes so far are more than any sound endpoint sends without
 	 * completing an event.
-	 * @return whether an incomplete event, or the comments since the last event, exceed
-	 * their limit
+	 * @return whether an incomplete event, with what is held back, or the comments since
+	 * the last event exceed their limit
 	 */
 	public boolean exceedsLimit() {
-		return this.pendingLength > MAX_EVENT_BYTES || this.commentBytes > MAX_COMMENT_BYTES;
+		return this.pendingLength + this.heldBack.size() > MAX_EVENT_BYTES || this.commentBytes > MAX_COMMENT_BYTES;
 	}
 
 	/**
@@ -186,12 +239,15 @@
 	}
 
 	/**
-	 * Drops the bytes of an incomplete event. Called before the stream is resumed at
-	 * another endpoint.
+	 * Begins a run of the stream at an endpoint, and drops what the run before it sent
+	 * and what was not passed on.
 	 */
-	public void dropPartialEvent() {
+	public void beginRun() {
 		this.pendingLength = 0;
 		this.commentBytes = 0;
+		this.malformed = false;
+		this.heldBack.reset();
+		this.sequence.beginRun();
 	}
 
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/stream/EventFramerTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/stream/EventFramerTests.java
@@ -2,11 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Chars;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -17,10 +20,14 @@
  */
 class EventFramerTests {
 
-	private final EventFramer framer = new EventFramer();
+	private final EventFramer framer = new EventFramer(Optional.empty());
 
 	private String add(String text) {
-		return new String(this.framer.extractNewEvents(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+		return add(this.framer, text);
+	}
+
+	private static String add(EventFramer framer, String text) {
+		return new String(framer.extractNewEvents(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
 	}
 
 	@Test
@@ -35,7 +42,7 @@
 	@Test
 	void aResumedStreamContinuesAfterTheLastCompleteEvent() {
 		add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-		this.framer.dropPartialEvent();
+		this.framer.beginRun();
 		assertThat(add("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
 	}
 
@@ -52,18 +59,71 @@
 		for (int id = 1; id <= 12; id++) {
 			all.append("id: ").append(id).append("\ndata: piece ").append(id * 31).append("\n\n");
 		}
-		EventFramer fresh = new EventFramer();
+		EventFramer fresh = new EventFramer(Optional.empty());
 		StringBuilder seen = new StringBuilder();
 		int from = 0;
 		for (int cut : cuts) {
 			int to = Math.min(all.length(), from + cut);
-			seen.append(new String(fresh.extractNewEvents(all.substring(from, to).getBytes(StandardCharsets.UTF_8)),
-					StandardCharsets.UTF_8));
+			seen.append(add(fresh, all.substring(from, to)));
 			from = to;
 		}
-		seen.append(new String(fresh.extractNewEvents(all.substring(from).getBytes(StandardCharsets.UTF_8)),
-				StandardCharsets.UTF_8));
+		seen.append(add(fresh, all.substring(from)));
 		assertThat(seen.toString()).isEqualTo(all.toString());
 	}
 
+	private static String event(String id, int piece) {
+		return "id: " + id + "\ndata: piece " + piece + ";\n\n";
+	}
+
+	private static String events(int first, int last) {
+		StringBuilder text = new StringBuilder();
+		for (int piece = first; piece <= last; piece++) {
+			text.append(event(String.valueOf(piece), piece));
+		}
+		return text.toString();
+	}
+
+	// Guards against sound pieces that are lost, repeated or reordered after an event
+	// whose id is spoiled in any way.
+	@Property(tries = 500)
+	void eachPieceIsPassedOnOnceWhateverIdOneEventHas(@ForAll @IntRange(min = 1, max = 12) int spoiled,
+			@ForAll @StringLength(max = 4) @Chars({ '0', '1', '2', '7', '9', 'x', ' ' }) String id) {
+		EventFramer fresh = new EventFramer(Optional.empty());
+		String run = events(1, spoiled - 1) + event(id, spoiled) + events(spoiled + 1, 12);
+		StringBuilder seen = new StringBuilder(add(fresh, run));
+		if (fresh.isMalformed()) {
+			fresh.beginRun();
+			seen.append(add(fresh, events(fresh.lastEventId().orElse(0L).intValue() + 1, 12)));
+		}
+		seen.append(new String(fresh.finish(), StandardCharsets.UTF_8));
+		assertThat(seen.toString().replaceAll("id: .*\n", "")).isEqualTo(events(1, 12).replaceAll("id: .*\n", ""));
+	}
+
+	@Test
+	void anEventFarAheadIsHeldBackUntilALargerIdConfirmsIt() {
+		assertThat(add(events(1, 3) + event("10", 4))).isEqualTo(events(1, 3));
+		assertThat(this.framer.lastEventId()).contains(3L);
+		assertThat(add("data: no id\n\n")).isEmpty();
+		assertThat(add(event("20", 5))).isEqualTo(event("10", 4) + "data: no id\n\n");
+		assertThat(new String(this.framer.finish(), StandardCharsets.UTF_8)).isEqualTo(event("20", 5));
+	}
+
+	@Test
+	void stepsAsLargeAsEarlierOnesAreNotHeldBack() {
+		assertThat(add(event("2", 1) + event("4", 2))).isEqualTo(event("2", 1) + event("4", 2));
+		assertThat(add(event("6", 3))).isEqualTo(event("6", 3));
+	}
+
+	@Test
+	void aStreamThatContinuesAnEarlierOneBeginsAfterItsLastEvent() {
+		assertThat(add(new EventFramer(Optional.of(100L)), event("101", 1))).isEqualTo(event("101", 1));
+	}
+
+	@Test
+	void anIdWithOtherCharactersIsMalformedAndNothingAfterItIsPassedOn() {
+		assertThat(add(events(1, 2) + event("3x", 3) + events(4, 5))).isEqualTo(events(1, 2));
+		assertThat(this.framer.isMalformed()).isTrue();
+		assertThat(this.framer.lastEventId()).contains(2L);
+	}
+
 }
