Do not use endpoints whose registrations state impossible numbers

Cause: the search for a path takes the largest layer that any engine names for the end of the model.

An endpoint that does not fit the model of its service is not usable and replaces no other.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -1,7 +1,9 @@
 package org.comfreyslip.entry;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -287,10 +289,18 @@
 			return;
 		}
 		this.router.applyConfiguration(next);
+		this.directory.setLayerCounts(layerCounts(next));
 		EntryLog.write(EntryEvent.CONFIGURATION, "configuration", "version", next.version(), "before", current,
 				"routes", next.routes().size(), "keys", next.accountsByKey().size());
 	}
 
+	private static Map<String, Integer> layerCounts(Configuration configuration) {
+		Map<String, Integer> counts = new HashMap<>();
+		configuration.services()
+			.forEach((name, service) -> service.engine().ifPresent((engine) -> counts.put(name, engine.layers())));
+		return counts;
+	}
+
 	private void onEndpoints(KeyedFeed.Update update) {
 		long now = this.clock.nanos();
 		boolean nearOutage = this.endpointFeed.hadOutageWithin(EndpointDirectory.LAPSED_USABLE_NANOS, now);
@@ -338,7 +348,8 @@
 			}
 			if (this.directory.register(endpoint)) {
 				EntryLog.write(EntryEvent.ENDPOINT_CHANGED, endpoint.id(), "address", endpoint.address(), "draining",
-						endpoint.draining(), "layers", endpoint.layers(), "offset", keyed.offset());
+						endpoint.draining(), "layers", endpoint.layers(), "usable",
+						this.directory.findUsable(endpoint.id()).isPresent(), "offset", keyed.offset());
 			}
 		}
 		catch (UnreadableRecordException ex) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/fleet/EndpointDirectory.java
@@ -40,8 +40,37 @@
 	/** The last registrations of endpoints that have left, by identity. */
 	private final Map<String, Left> left = new HashMap<>();
 
+	/** Number of layers of the model of each service that has engines. */
+	private Map<String, Integer> layerCounts = Map.of();
+
 	private int version;
 
+	/**
+	 * Sets how many layers the models have. An endpoint that states layers beyond those
+	 * of its service is not usable.
+	 * @param counts the number of layers by service; without services that have no model
+	 */
+	public void setLayerCounts(Map<String, Integer> counts) {
+		if (!counts.equals(this.layerCounts)) {
+			this.layerCounts = Map.copyOf(counts);
+			this.version++;
+		}
+	}
+
+	/**
+	 * Tells whether the layers of an endpoint exist in the model of its service.
+	 * @param endpoint the endpoint
+	 * @return whether they do, or it holds none or the service has no model
+	 */
+	public boolean fitsModel(Endpoint endpoint) {
+		int layers = this.layerCounts.getOrDefault(endpoint.service(), Integer.MAX_VALUE);
+		return endpoint.layers().filter((range) -> range.to() > layers).isEmpty();
+	}
+
+	private boolean isUsable(Endpoint endpoint) {
+		return !endpoint.draining() && fitsModel(endpoint);
+	}
+
 	/**
 	 * Applies a registration unless a newer one of the same endpoint is known. Earlier
 	 * endpoints at the same address are removed.
@@ -59,7 +88,9 @@
 		}
 		this.left.remove(endpoint.id());
 		this.lapsed.remove(endpoint.id());
-		removePredecessors(endpoint);
+		if (fitsModel(endpoint)) {
+			removePredecessors(endpoint);
+		}
 		this.registered.put(endpoint.id(), endpoint);
 		boolean changed = old == null || !equalsExceptHeartbeat(old, endpoint);
 		if (changed) {
@@ -165,12 +196,12 @@
 	private List<Endpoint> findUsable(Predicate<Endpoint> condition) {
 		List<Endpoint> usable = new ArrayList<>();
 		for (Endpoint endpoint : this.registered.values()) {
-			if (condition.test(endpoint) && !endpoint.draining()) {
+			if (condition.test(endpoint) && isUsable(endpoint)) {
 				usable.add(endpoint);
 			}
 		}
 		for (Lapsed entry : this.lapsed.values()) {
-			if (condition.test(entry.endpoint())) {
+			if (condition.test(entry.endpoint()) && fitsModel(entry.endpoint())) {
 				usable.add(entry.endpoint());
 			}
 		}
@@ -180,14 +211,15 @@
 	/**
 	 * Finds an endpoint that may receive new requests.
 	 * @param id identity of the endpoint
-	 * @return the endpoint; empty if it is draining, gone or unknown
+	 * @return the endpoint; empty if it is draining, gone or unknown, or does not fit its
+	 * model
 	 */
 	public Optional<Endpoint> findUsable(String id) {
 		Endpoint endpoint = this.registered.get(id);
 		if (endpoint != null) {
-			return (endpoint.draining()) ? Optional.empty() : Optional.of(endpoint);
+			return (isUsable(endpoint)) ? Optional.of(endpoint) : Optional.empty();
 		}
-		return Optional.ofNullable(this.lapsed.get(id)).map(Lapsed::endpoint);
+		return Optional.ofNullable(this.lapsed.get(id)).map(Lapsed::endpoint).filter(this::fitsModel);
 	}
 
 	/**
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/fleet/EndpointDirectoryTests.java
@@ -1,11 +1,13 @@
 package org.comfreyslip.entry.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 import org.comfreyslip.entry.Samples;
 import org.comfreyslip.entry.model.Endpoint;
+import org.comfreyslip.entry.model.LayerRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -54,6 +56,24 @@
 		assertThat(this.directory.usableEndpoints("archive")).containsExactly(next);
 	}
 
+	// Guards against an entry of another writer that takes the place of sound engines.
+	@Test
+	void anEndpointWithLayersBeyondItsModelIsNotUsableAndReplacesNoOther() {
+		Endpoint sound = engine("a", 1, 8);
+		this.directory.setLayerCounts(Map.of("model", 8));
+		this.directory.register(sound);
+		this.directory.register(engine("b", 2, 9));
+		assertThat(this.directory.usableEndpoints("model")).containsExactly(sound);
+		assertThat(this.directory.findUsable("b")).isEmpty();
+		this.directory.setLayerCounts(Map.of("model", 9));
+		assertThat(this.directory.findUsable("b")).isPresent();
+	}
+
+	private static Endpoint engine(String id, long incarnation, int layers) {
+		return new Endpoint(id, incarnation, 1, "model", new InetSocketAddress("10.0.0.1", 8_080), "a", false,
+				Optional.of("k"), Optional.of(new LayerRange(0, layers)));
+	}
+
 	@Test
 	void aNewHeartbeatAloneIsNotAChange() {
 		this.directory.register(Samples.plain("a", 1, false));
