Answer or refuse late requests in a planned stop

Cause: only connections were refused late. A request whose head or body was still arriving was sent whenever it was complete, and the process exited with all requests open.

Change: a request that has not been sent is sent only while connections are accepted or if it times out before the exit; else it is refused with 503 at once, or given back to the daemon that passed it on. At the exit, open requests get 502, or 503 if no endpoint has seen them.

--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/EntryDaemon.java
@@ -78,6 +78,9 @@
 	/** Time in which registrations that the reader knows arrive from it, in ms. */
 	private static final long RELAY_GRACE_MS = 150;
 
+	/** Time for the last responses before the process exits, in ms. */
+	private static final long LAST_RESPONSES_MS = 50;
+
 	private final EventLoop loop;
 
 	private EntrySettings settings;
@@ -116,9 +119,8 @@
 
 	private long startedAtNanos;
 
-	private long stopRequestedAtNanos;
-
-	private boolean stopping;
+	/** Whether the open requests have been ended, since the process exits. */
+	private boolean exiting;
 
 	/**
 	 * Creates the daemon.
@@ -232,7 +234,7 @@
 		if (!this.router.isCutOffFromEngines()) {
 			planPlacement();
 		}
-		if (this.stopping) {
+		if (this.router.shutdown().isRequested()) {
 			continueShutdown();
 		}
 	}
@@ -358,17 +360,18 @@
 	}
 
 	private boolean isReady() {
-		boolean ready = !this.stopping && this.endpointReader.isReady() && this.router.canServe();
+		boolean ready = !this.router.shutdown().isRequested() && this.endpointReader.isReady()
+				&& this.router.canServe();
 		if (ready != this.lastReportedReady) {
 			this.lastReportedReady = ready;
 			EntryLog.write((ready) ? EntryEvent.READY : EntryEvent.NOT_READY, this.settings.name(), "callers",
-					this.router.callerCount(), "why", (ready) ? "none" : notReadyReason());
+					this.router.callers().count(), "why", (ready) ? "none" : notReadyReason());
 		}
 		return ready;
 	}
 
 	private String notReadyReason() {
-		if (this.stopping) {
+		if (this.router.shutdown().isRequested()) {
 			return "stopping";
 		}
 		return this.router.obstacle().orElse("registrations not read");
@@ -394,31 +397,37 @@
 	 * then the process exits. Further calls have no effect.
 	 */
 	public void stop() {
-		if (this.stopping) {
+		if (this.router.shutdown().isRequested()) {
 			return;
 		}
-		this.stopping = true;
-		this.stopRequestedAtNanos = System.nanoTime();
-		this.router.announceStop();
+		this.router.shutdown().request(System.nanoTime());
 		this.peers.stopReadingForOthers();
 		this.placementControl.stop();
-		EntryLog.write(EntryEvent.STOPPING, this.settings.name(), "callers", this.router.callerCount());
+		EntryLog.write(EntryEvent.STOPPING, this.settings.name(), "callers", this.router.callers().count());
 	}
 
 	private void continueShutdown() {
-		long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.stopRequestedAtNanos);
-		ShutdownPhase phase = ShutdownPhase.at(sinceMs, this.settings.graceMs());
+		ShutdownPhase phase = this.router.shutdown().phase(this.settings.graceMs(), System.nanoTime());
 		if (phase == ShutdownPhase.ACCEPTING) {
 			return;
 		}
 		this.callerListener.close();
 		this.daemonListener.close();
-		this.router.closeIdleCallers(System.nanoTime());
-		boolean idle = !this.router.hasOpenRequests() && this.router.callerCount() == 0;
-		if (idle || phase == ShutdownPhase.OVER) {
-			EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
-			this.exit.run();
+		this.router.callers().closeIdleAtStop(System.nanoTime());
+		boolean idle = !this.router.hasOpenRequests() && this.router.callers().count() == 0;
+		if (idle) {
+			exit(true);
+		}
+		else if (phase == ShutdownPhase.OVER && !this.exiting) {
+			this.exiting = true;
+			this.router.endOpenRequests();
+			this.loop.schedule(() -> exit(false), LAST_RESPONSES_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
+	private void exit(boolean idle) {
+		EntryLog.write(EntryEvent.STOPPED, this.settings.name(), "idle", idle);
+		this.exit.run();
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/ShutdownPhase.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/ShutdownPhase.java
@@ -41,4 +41,17 @@
 		return (sinceMs < ACCEPT_MS) ? ACCEPTING : FINISHING;
 	}
 
+	/**
+	 * Tells whether a request may be sent to its first endpoint. Once no more connections
+	 * are accepted, the process may exit before the response.
+	 * @param sinceMs time since the stop signal, in ms
+	 * @param remainingMs time until the request times out, in ms
+	 * @param graceMs time from the stop signal until the process is killed, in ms
+	 * @return whether connections are still accepted, or the request times out before the
+	 * process exits
+	 */
+	public static boolean allowsFirstSend(long sinceMs, long remainingMs, long graceMs) {
+		return at(sinceMs, graceMs) == ACCEPTING || sinceMs + remainingMs <= graceMs - GRACE_MARGIN_MS;
+	}
+
 }
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/CallerConnection.java
@@ -110,7 +110,7 @@
 		this.channel = ctx.channel();
 		this.lastReadNanos = System.nanoTime();
 		this.channel.config().setAutoRead(this.router.isAcceptingRequests());
-		this.router.onCallerOpened(this);
+		this.router.callers().add(this);
 	}
 
 	/** Starts reading what the caller sent while the daemon was starting. */
@@ -277,7 +277,8 @@
 	}
 
 	private boolean closesAfterResponse() {
-		return this.closeAfterResponse || ((this.ofDaemon) ? this.router.isStopping() : this.router.closesCallers());
+		return this.closeAfterResponse
+				|| ((this.ofDaemon) ? this.router.shutdown().isRequested() : this.router.closesCallers());
 	}
 
 	// Starts a streamed response. Adapts the given header fields to this connection.
@@ -308,7 +309,7 @@
 		// The head of a stream that began before the stop signal did not announce that
 		// the connection closes; another request on it would come too late to be
 		// finished.
-		if (this.closeAfterResponse || (this.router.isStopping() && this.queuedRequests.isEmpty())) {
+		if (this.closeAfterResponse || (this.router.shutdown().isRequested() && this.queuedRequests.isEmpty())) {
 			this.closing = true;
 			this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((done) -> closeAfterLinger());
 		}
@@ -365,7 +366,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closing = true;
 		releaseRequests();
-		this.router.onCallerClosed(this);
+		this.router.callers().remove(this);
 		if (this.exchange != null) {
 			Exchange abandoned = this.exchange;
 			this.exchange = null;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointResults.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/EndpointResults.java
@@ -45,6 +45,21 @@
 		this.faults.recordResponse(endpoint.id(), false, nowNanos);
 	}
 
+	/**
+	 * Records that an endpoint has run a request and sent a complete response.
+	 * @param endpoint the endpoint
+	 * @param failed whether the response reports a failure
+	 * @param nowNanos the current steady time in ns
+	 */
+	void onAnswered(Endpoint endpoint, boolean failed, long nowNanos) {
+		if (failed) {
+			onFailed(endpoint, nowNanos);
+		}
+		else {
+			onServed(endpoint, nowNanos);
+		}
+	}
+
 	/**
 	 * Records that a stream was complete.
 	 * @param target the target that served it; the endpoints of a daemon are not known
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Exchange.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.layers.LayerPath;
-import org.comfreyslip.entry.model.Route;
 import org.comfreyslip.entry.model.RouteKind;
 import org.comfreyslip.entry.stream.EventFramer;
 
@@ -130,22 +129,19 @@
 		if (!this.router.mayStillSend(this.admitted)) {
 			return Optional.of(this.router.refusals().ofStaleKeys(this.router.staleRetryMs()));
 		}
+		if (!this.attempts.hasSent() && !this.router.allowsFirstSend(this.deadline, now)) {
+			return Optional.of(this.router.refusals().ofStopping());
+		}
 		return this.router.refusals().ofCrashing(this.suspicion.traits(), now);
 	}
 
-	// Ends or suspends a request that has no target. A request of another daemon that has
-	// not run here is given back to it.
+	// Ends or suspends a request that has no target.
 	private void onNoTarget(TargetChoice choice, long now) {
 		if (choice.reachable() && this.query.isForEngine()) {
 			this.router.log()
 				.recordMissingPath(id(), this.router.targets().describeMissingPath(this.query, now),
 						choice.heldBack().size(), now);
 		}
-		if (!choice.reachable() && isOfOtherDaemon() && !this.callerResponse.isStreamStarted()
-				&& !this.attempts.hasRunHere()) {
-			decline(RefusalCause.OUT_OF_REACH.reason());
-			return;
-		}
 		refuse(this.router.refusals().ofNoTarget(this.query, choice, now));
 	}
 
@@ -213,7 +209,7 @@
 	@Override
 	public void onResponseContent(ByteBuf content) {
 		if (!this.send.isRelayingStream()) {
-			bufferContent(content);
+			this.send.bufferContent(content, System.nanoTime());
 			return;
 		}
 		byte[] bytes = new byte[content.readableBytes()];
@@ -224,12 +220,10 @@
 			onEventsReceived(System.nanoTime());
 		}
 		passOn(events);
-		if (this.framer.exceedsLimit() || this.framer.isMalformed()) {
+		SendFailureCause.of(this.framer).ifPresent((cause) -> {
 			this.caller.flush();
-			this.send.connection()
-				.get()
-				.failBecauseOf((this.framer.isMalformed()) ? SendFailureCause.GARBLED : SendFailureCause.ENDLESS);
-		}
+			this.send.fail(cause);
+		});
 	}
 
 	private void passOn(byte[] events) {
@@ -255,13 +249,6 @@
 		}
 	}
 
-	private void bufferContent(ByteBuf content) {
-		this.send.progress().onAnswer(System.nanoTime());
-		if (!this.send.buffer().tryAppend(content)) {
-			this.send.connection().get().failBecauseOf(SendFailureCause.ENDLESS);
-		}
-	}
-
 	// Sends the response head to the caller unless an earlier send of the stream did so.
 	private void startStreamIfNeeded() {
 		if (!this.callerResponse.isStreamStarted()) {
@@ -338,12 +325,7 @@
 		if (!failed && path().isEmpty()) {
 			this.suspicion.onAnswered(now);
 		}
-		if (failed) {
-			this.router.results().onFailed(this.send.endpoint(), now);
-		}
-		else {
-			this.router.results().onServed(this.send.endpoint(), now);
-		}
+		this.router.results().onAnswered(this.send.endpoint(), failed, now);
 		if (failed && this.admitted.route().mayRunAgain() && !this.callerResponse.isStreamStarted()
 				&& recordRunAndTakeRetry()) {
 			this.attempts.recordUnknownOutcome();
@@ -566,9 +548,14 @@
 	}
 
 	// Ends a request that is not sent now: refuses it, fails it if it may have run, or
-	// suspends it if its stream has started and may go on later.
+	// suspends it if its stream has started and may go on later. A request of another
+	// daemon that has not run here is given back to it.
 	private void refuse(Refusal refusal) {
-		if (this.callerResponse.isStreamStarted() && refusal.cause().isTemporary()) {
+		if (refusal.cause().isOfThisDaemon() && isOfOtherDaemon() && !this.callerResponse.isStreamStarted()
+				&& !this.attempts.hasRunHere()) {
+			decline(refusal.cause().reason());
+		}
+		else if (this.callerResponse.isStreamStarted() && refusal.cause().isTemporary()) {
 			suspend();
 		}
 		else if (this.callerResponse.isStreamStarted() || this.attempts.isOutcomeUnknown()) {
@@ -584,11 +571,8 @@
 			breakOffStream(reason);
 			return;
 		}
-		HttpResponseStatus status = (this.attempts.isOutcomeUnknown()) ? HttpResponseStatus.BAD_GATEWAY
-				: HttpResponseStatus.SERVICE_UNAVAILABLE;
-		long retryAfterMs = (this.attempts.isOutcomeUnknown()) ? -1 : this.router.refusals().capacityRetryMs();
-		respond(OwnResponses.create(status, "the endpoint failed", retryAfterMs),
-				(this.attempts.isOutcomeUnknown()) ? Outcome.FAILED : Outcome.REFUSED, reason);
+		boolean unknown = this.attempts.isOutcomeUnknown();
+		respond(this.router.refusals().ofFailure(unknown), (unknown) ? Outcome.FAILED : Outcome.REFUSED, reason);
 	}
 
 	private void breakOffStream(String reason) {
@@ -597,7 +581,13 @@
 		this.caller.abortResponse();
 	}
 
-	private void timeOut(String reason) {
+	/** Ends the request, since the process exits. */
+	void endAtExit() {
+		abortSend();
+		failRequest("the process exits");
+	}
+
+	private void abortSend() {
 		connection().ifPresent((open) -> {
 			if (this.send.isWriteStarted()) {
 				this.attempts.recordUnknownOutcome();
@@ -605,6 +595,10 @@
 			open.abort();
 		});
 		endSend(-1);
+	}
+
+	private void timeOut(String reason) {
+		abortSend();
 		if (this.callerResponse.isStreamStarted()) {
 			breakOffStream(reason);
 			return;
@@ -657,7 +651,6 @@
 			return;
 		}
 		long silenceMs = this.activity.silenceMs(nowNanos);
-		Route route = this.admitted.route();
 		if (isAtDaemon()) {
 			act(SilenceAction.ofDaemon(silenceMs), nowNanos);
 			return;
@@ -666,9 +659,8 @@
 		if (this.finished || !isAtEndpoint()) {
 			return;
 		}
-		boolean overPath = path().isPresent();
-		act((overPath) ? SilenceAction.ofPath(this.send, route, this.callerResponse.isStreamStarted(), silenceMs)
-				: SilenceAction.ofPlainEndpoint(this.send, route, this.attempts.runCount(), silenceMs), nowNanos);
+		act(SilenceAction.ofEndpoint(this.send, this.admitted.route(), this.attempts.runCount(),
+				this.callerResponse.isStreamStarted(), silenceMs), nowNanos);
 	}
 
 	private void act(SilenceAction action, long nowNanos) {
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RefusalCause.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/RefusalCause.java
@@ -22,6 +22,9 @@
 	 */
 	OUT_OF_REACH("no endpoint can be reached now", "endpoints out of reach", true),
 
+	/** This daemon stops, and exits before a response is certain. */
+	STOPPING("this host stops; another one can take the request", "stopping", false),
+
 	/** Endpoints refused the request, which may not be sent once more. */
 	REFUSED_BY_ENDPOINT("the endpoint cannot take the request now", "endpoint refused", true);
 
@@ -53,6 +56,15 @@
 		return this.reason;
 	}
 
+	/**
+	 * Tells whether the cause lies at this daemon, so that another one may serve the
+	 * request.
+	 * @return whether it does
+	 */
+	boolean isOfThisDaemon() {
+		return this == OUT_OF_REACH || this == STOPPING;
+	}
+
 	/**
 	 * Tells whether a stream that has started is suspended instead of broken off.
 	 * @return whether the stream may go on later
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Refusals.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Refusals.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.comfreyslip.entry.EntryMetrics;
 import org.comfreyslip.entry.blame.CrashBlame;
 import org.comfreyslip.entry.fleet.EndpointLimits;
@@ -58,6 +60,15 @@
 		return Refusal.of(RefusalCause.STALE_KEYS, retryMs);
 	}
 
+	/**
+	 * Returns the refusal of a request that comes too late in the shutdown. The caller
+	 * may turn to another daemon at once.
+	 * @return the refusal
+	 */
+	Refusal ofStopping() {
+		return Refusal.of(RefusalCause.STOPPING, 0);
+	}
+
 	/**
 	 * Returns the refusal of a request that would crash the next endpoint, too.
 	 * @param traits what other requests that crash endpoints may have in common with it
@@ -103,6 +114,16 @@
 		return new Refusal(cause, cause.reason() + " with " + status, capacityRetryMs());
 	}
 
+	/**
+	 * Returns the response to a request whose sends have failed.
+	 * @param outcomeUnknown whether an endpoint may have run it
+	 * @return a response that says that it has not run, or promises nothing
+	 */
+	DefaultFullHttpResponse ofFailure(boolean outcomeUnknown) {
+		return (outcomeUnknown) ? OwnResponses.create(HttpResponseStatus.BAD_GATEWAY, "the endpoint failed", -1)
+				: OwnResponses.create(HttpResponseStatus.SERVICE_UNAVAILABLE, "the endpoint failed", capacityRetryMs());
+	}
+
 	/**
 	 * Draws the time after which a caller may retry while capacity is missing.
 	 * @return a time between {@link #CAPACITY_RETRY_MS} and twice as long, in ms
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/Router.java
@@ -117,7 +117,7 @@
 
 	private final BufferLimits buffers = new BufferLimits();
 
-	private final Set<CallerConnection> callers = new HashSet<>();
+	private final Callers callers = new Callers();
 
 	private final Set<Exchange> openExchanges = new HashSet<>();
 
@@ -130,8 +130,7 @@
 	/** Whether the requests of callers are read. */
 	private boolean acceptingRequests;
 
-	/** Whether responses announce that their connection closes. */
-	private boolean stopping;
+	private final Shutdown shutdown = new Shutdown();
 
 	/**
 	 * Creates a router that reads no requests until {@link #acceptRequests()}.
@@ -319,13 +318,22 @@
 		return this.limits;
 	}
 
-	boolean isStopping() {
-		return this.stopping;
+	/**
+	 * Returns the shutdown. Once it is requested, each further response announces that
+	 * the connection closes after it.
+	 * @return the shutdown
+	 */
+	public Shutdown shutdown() {
+		return this.shutdown;
+	}
+
+	boolean allowsFirstSend(RequestDeadline deadline, long nowNanos) {
+		return this.shutdown.allowsFirstSend(deadline, this.settings.graceMs(), nowNanos);
 	}
 
 	// Tells whether callers are asked to open a new connection for their next request.
 	boolean closesCallers() {
-		return this.stopping || this.relays.isOutOfRotation();
+		return this.shutdown.isRequested() || this.relays.isOutOfRotation();
 	}
 
 	@Override
@@ -348,7 +356,7 @@
 
 	@Override
 	public boolean takesRelays() {
-		return this.acceptingRequests && !this.stopping;
+		return this.acceptingRequests && !this.shutdown.isRequested();
 	}
 
 	// A fault counts once a connection that was opened since shows that this host's
@@ -440,25 +448,16 @@
 	 */
 	public void acceptRequests() {
 		this.acceptingRequests = true;
-		new ArrayList<>(this.callers).forEach(CallerConnection::startReading);
+		this.callers.startReading();
 	}
 
 	boolean isAcceptingRequests() {
 		return this.acceptingRequests;
 	}
 
-	/** Announces with each further response that the connection closes after it. */
-	public void announceStop() {
-		this.stopping = true;
-	}
-
-	/**
-	 * Closes the connections of callers that have no open request, while the daemon
-	 * stops.
-	 * @param nowNanos the current steady time in ns
-	 */
-	public void closeIdleCallers(long nowNanos) {
-		new ArrayList<>(this.callers).forEach((caller) -> caller.closeIfIdleAtStop(nowNanos));
+	/** Ends all open requests, since the process exits. */
+	public void endOpenRequests() {
+		new ArrayList<>(this.openExchanges).forEach(Exchange::endAtExit);
 	}
 
 	/**
@@ -466,15 +465,15 @@
 	 * @return whether a request is being received or its response is still due
 	 */
 	public boolean hasOpenRequests() {
-		return !this.openExchanges.isEmpty() || this.callers.stream().anyMatch(CallerConnection::isBusy);
+		return !this.openExchanges.isEmpty() || this.callers.areAnyBusy();
 	}
 
 	/**
-	 * Returns how many callers are connected.
-	 * @return the number of open connections of callers
+	 * Returns the connections of callers.
+	 * @return the connections
 	 */
-	public int callerCount() {
-		return this.callers.size();
+	public Callers callers() {
+		return this.callers;
 	}
 
 	/**
@@ -521,14 +520,6 @@
 		return this.keyFreshness.staleRetryMs(this.settings.keyFreshnessMs(), this.clock.nanos());
 	}
 
-	void onCallerOpened(CallerConnection caller) {
-		this.callers.add(caller);
-	}
-
-	void onCallerClosed(CallerConnection caller) {
-		this.callers.remove(caller);
-	}
-
 	RequestAdmission.Admission admit(CallerConnection.IncomingRequest request, HeaderTranslator.RequestFields fields) {
 		return this.admission.admit(request, fields, this.configuration, this.routeTable,
 				this.configurationFeed.ageNanos(this.clock.nanos()), staleRetryMs());
@@ -621,9 +612,7 @@
 	 * @param nowNanos the current steady time in ns
 	 */
 	public void checkConnections(long nowNanos) {
-		for (CallerConnection caller : new ArrayList<>(this.callers)) {
-			caller.checkTimeouts(nowNanos);
-		}
+		this.callers.checkTimeouts(nowNanos);
 		this.pool.closeExpired(nowNanos);
 		this.plainSelector.removeExpired(nowNanos);
 		this.relays.update(nowNanos);
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendAttempts.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendAttempts.java
@@ -74,6 +74,14 @@
 		target.daemon().ifPresent((daemon) -> this.triedDaemons.add(daemon.name()));
 	}
 
+	/**
+	 * Tells whether the request has been sent to a target.
+	 * @return whether a send has started
+	 */
+	boolean hasSent() {
+		return !this.sentTo.isEmpty();
+	}
+
 	/**
 	 * Excludes an endpoint from further sends.
 	 * @param endpointId identity of the endpoint
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendFailureCause.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.comfreyslip.entry.fleet.FaultKind;
+import org.comfreyslip.entry.stream.EventFramer;
 
 /**
  * Why a send to an endpoint ended without a complete response.
@@ -47,6 +48,18 @@
 		this.fault = fault;
 	}
 
+	/**
+	 * Returns why the run of a stream cannot go on.
+	 * @param framer what the run has sent
+	 * @return the cause; empty if it can go on
+	 */
+	static Optional<SendFailureCause> of(EventFramer framer) {
+		if (framer.isMalformed()) {
+			return Optional.of(GARBLED);
+		}
+		return (framer.exceedsLimit()) ? Optional.of(ENDLESS) : Optional.empty();
+	}
+
 	/**
 	 * Tells whether the endpoint may have run the request.
 	 * @return whether it may have run
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendState.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SendState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.netty.buffer.ByteBuf;
 import org.comfreyslip.entry.model.Endpoint;
 
 /**
@@ -62,6 +63,18 @@
 		return this.buffer;
 	}
 
+	/**
+	 * Buffers a part of the response's body. Ends the send if there is no room for it.
+	 * @param content the part
+	 * @param nowNanos the current steady time in ns
+	 */
+	void bufferContent(ByteBuf content, long nowNanos) {
+		this.progress.onAnswer(nowNanos);
+		if (!this.buffer.tryAppend(content)) {
+			fail(SendFailureCause.ENDLESS);
+		}
+	}
+
 	boolean isOpen() {
 		return this.open;
 	}
@@ -94,6 +107,14 @@
 		this.connection = connection;
 	}
 
+	/**
+	 * Ends the send, which is open, because what the target sends cannot be used.
+	 * @param cause the cause that is reported to the listener
+	 */
+	void fail(SendFailureCause cause) {
+		this.connection.failBecauseOf(cause);
+	}
+
 	/** Records that the write of the request to an open connection has started. */
 	void onWriteStarted() {
 		this.writeStarted = true;
--- a/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SilenceAction.java
+++ b/comfreyslip-entry/src/main/java/org/comfreyslip/entry/http/SilenceAction.java
@@ -23,36 +23,34 @@
 	private static final long DAEMON_SILENCE_MS = 1_200;
 
 	/**
-	 * Decides about a send to another daemon.
+	 * Decides about a send to an endpoint.
+	 * @param send the send
+	 * @param route the route of the request
+	 * @param runCount number of endpoints that may have run the request
+	 * @param streamStarted whether events have been relayed
 	 * @param silenceMs time since the last progress, in ms
 	 * @return what is done
 	 */
-	static SilenceAction ofDaemon(long silenceMs) {
-		return (silenceMs >= DAEMON_SILENCE_MS) ? ABANDON : NONE;
+	static SilenceAction ofEndpoint(SendState send, Route route, int runCount, boolean streamStarted, long silenceMs) {
+		return (send.target().path().isPresent()) ? ofPath(send, route, streamStarted, silenceMs)
+				: ofPlainEndpoint(send, route, runCount, silenceMs);
 	}
 
 	/**
-	 * Decides about a send to an endpoint of a plain service.
-	 * @param send the send
-	 * @param route the route of the request
-	 * @param runCount number of endpoints that may have run the request
+	 * Decides about a send to another daemon.
 	 * @param silenceMs time since the last progress, in ms
 	 * @return what is done
 	 */
-	static SilenceAction ofPlainEndpoint(SendState send, Route route, int runCount, long silenceMs) {
+	static SilenceAction ofDaemon(long silenceMs) {
+		return (silenceMs >= DAEMON_SILENCE_MS) ? ABANDON : NONE;
+	}
+
+	private static SilenceAction ofPlainEndpoint(SendState send, Route route, int runCount, long silenceMs) {
 		boolean silent = send.isWriteStarted() && !send.hasResponse() && silenceMs >= SilenceLimits.plainMs(route);
 		return (route.mayRunAgain() && silent && runCount + 1 < route.maxAttempts()) ? ABANDON : NONE;
 	}
 
-	/**
-	 * Decides about a send over a path.
-	 * @param send the send
-	 * @param route the route of the request
-	 * @param streamStarted whether events have been relayed
-	 * @param silenceMs time since the last progress, in ms
-	 * @return what is done
-	 */
-	static SilenceAction ofPath(SendState send, Route route, boolean streamStarted, long silenceMs) {
+	private static SilenceAction ofPath(SendState send, Route route, boolean streamStarted, long silenceMs) {
 		long limitMs = (streamStarted) ? SilenceLimits.eventGapMs(route) : SilenceLimits.firstEventMs(route);
 		return (send.isWriteStarted() && silenceMs >= limitMs) ? PROBE : NONE;
 	}
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/ShutdownPhaseTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/ShutdownPhaseTests.java
@@ -33,4 +33,12 @@
 		assertThat(ShutdownPhase.at(500, 300)).isEqualTo(ShutdownPhase.OVER);
 	}
 
+	@Test
+	void aFirstSendIsAllowedWhileItsResponseIsDueBeforeTheExit() {
+		assertThat(ShutdownPhase.allowsFirstSend(2_000, 20_000, 8_000)).isTrue();
+		assertThat(ShutdownPhase.allowsFirstSend(5_000, 20_000, 8_000)).isFalse();
+		assertThat(ShutdownPhase.allowsFirstSend(5_000, 2_600, 8_000)).isTrue();
+		assertThat(ShutdownPhase.allowsFirstSend(5_000, 2_601, 8_000)).isFalse();
+	}
+
 }
--- a/comfreyslip-entry/src/test/java/org/comfreyslip/entry/http/CallerConnectionTests.java
+++ b/comfreyslip-entry/src/test/java/org/comfreyslip/entry/http/CallerConnectionTests.java
@@ -39,10 +39,11 @@
 		this.router.acceptRequests();
 		EmbeddedChannel caller = connect();
 		long now = System.nanoTime();
-		this.router.announceStop();
-		this.router.closeIdleCallers(now);
+		this.router.shutdown().request(now);
+		this.router.callers().closeIdleAtStop(now);
 		assertThat(caller.isOpen()).isTrue();
-		this.router.closeIdleCallers(now + TimeUnit.MILLISECONDS.toNanos(CallerConnection.FIRST_REQUEST_WAIT_MS));
+		this.router.callers()
+			.closeIdleAtStop(now + TimeUnit.MILLISECONDS.toNanos(CallerConnection.FIRST_REQUEST_WAIT_MS));
 		assertThat(caller.isOpen()).isFalse();
 	}
 
