--- a/review/standins-2/EndlessEvent.java
+++ b/review/standins-2/EndlessEvent.java
@@ -44,6 +44,11 @@
 
 	private static final AtomicInteger ANSWERED = new AtomicInteger();
 
+	/** Time of the last answer to any caller, and the longest time between two of them. */
+	private static long lastAnswerNanos;
+
+	private static long longestSilenceMs;
+
 	public static void main(String[] arguments) {
 		Case.run(arguments[0], EndlessEvent::isRuleBroken);
 	}
@@ -97,11 +102,13 @@
 		streamer.join();
 		int late = lateCount.get();
 		int unanswered = unansweredCount.get();
-		record.add("requests sent: " + SENT + ", run: " + RUN + ", answered: " + ANSWERED);
+		record.add("requests sent: " + SENT + ", run: " + RUN + ", answered: " + ANSWERED
+				+ "; longest time without an answer to any of " + CALLERS + " callers: " + longestSilenceMs + " ms");
 		record.add("answers of i-writer-1: " + ANSWERS.get());
 		record.add("requests without an answer at their timeout: " + unanswered + ", of these without one "
 				+ HALF_A_SECOND_MS + " ms later: " + late);
-		System.out.println("unanswered at timeout " + unanswered + ", half a second later " + late);
+		System.out.println("unanswered at timeout " + unanswered + ", half a second later " + late
+				+ ", longest silence " + longestSilenceMs + " ms");
 		return 2 * late > unanswered;
 	}
 
@@ -113,6 +120,7 @@
 		try {
 			outcome = "status " + caller.call("POST", "/pledge/1", attempt, TIMEOUT_MS, new byte[600]).head().status();
 			ANSWERED.incrementAndGet();
+			recordAnswer(System.nanoTime());
 		}
 		catch (IOException ex) {
 			outcome = "no answer: " + ex.getMessage();
@@ -130,6 +138,13 @@
 		}
 	}
 
+	private static synchronized void recordAnswer(long nowNanos) {
+		if (lastAnswerNanos != 0) {
+			longestSilenceMs = Math.max(longestSilenceMs, (nowNanos - lastAnswerNanos) / 1_000_000);
+		}
+		lastAnswerNanos = nowNanos;
+	}
+
 	private static void close(Caller caller) {
 		try {
 			caller.close();
