--- a/review/standins-2/HeadRequests.java
+++ b/review/standins-2/HeadRequests.java
@@ -23,6 +23,12 @@
 	private static final String GROVE_ROUTE = Deployment.route("grove", "/grove/", "idempotent", "registry", TIMEOUT_MS,
 			2, "");
 
+	private static final AtomicInteger SENT = new AtomicInteger();
+
+	private static final AtomicInteger RUN = new AtomicInteger();
+
+	private static final AtomicInteger ANSWERED = new AtomicInteger();
+
 	public static void main(String[] arguments) {
 		Case.run(arguments[0], HeadRequests::isRuleBroken);
 	}
@@ -55,12 +61,14 @@
 		for (Thread thread : threads) {
 			thread.join();
 		}
+		record.add("requests sent: " + SENT + ", run: " + RUN + ", answered so that it could be read: " + ANSWERED);
 		record.add("pairs of requests with their answers: " + sound + ", with bytes that are no answer: " + mixed);
 		System.out.println("sound " + sound + ", mixed " + mixed);
 		return mixed.get() > 0;
 	}
 
 	private static void answer(Server.Request request) throws IOException {
+		RUN.incrementAndGet();
 		byte[] body = Server.bytes("tree of " + request.attempt());
 		if (request.head().first().startsWith("HEAD ")) {
 			request.out()
@@ -75,9 +83,13 @@
 	private static boolean call(Caller caller, Record record) {
 		String attempt = Caller.newAttempt();
 		try {
+			SENT.incrementAndGet();
 			Protocol.Head head = caller.callHead("/grove/1", Caller.newAttempt(), TIMEOUT_MS);
+			ANSWERED.incrementAndGet();
 			Deployment.sleep(20);
+			SENT.incrementAndGet();
 			Caller.Answer answer = caller.call("GET", "/tree/1", attempt, TIMEOUT_MS, new byte[0]);
+			ANSWERED.incrementAndGet();
 			String expected = "tree of " + attempt;
 			if (answer.head().status() == 200 && !new String(answer.body()).equals(expected)) {
 				record.add("GET " + attempt + " got the body " + new String(answer.body()));
